--- a/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
+++ b/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
@@ -41,7 +41,8 @@
                              std::optional<std::uint64_t> fallback = std::nullopt);
     double readReal(const char *key);
     bool readBool(const char *key, std::optional<bool> fallback = std::nullopt);
-    core::Duration readMilliseconds(const char *key,
+    /// Reads whole milliseconds, at least `least` and at most a day.
+    core::Duration readMilliseconds(const char *key, core::Duration least,
                                     std::optional<core::Duration> fallback = std::nullopt);
     /// A missing array reads as empty.
     std::vector<std::string> readStrings(const char *key);
--- a/packages/codec/src/configuration_text.cpp
+++ b/packages/codec/src/configuration_text.cpp
@@ -9,6 +9,8 @@
 
 using detail::JsonReader;
 
+constexpr core::Duration shortestTimeout = std::chrono::milliseconds(1);
+
 core::ServiceKind readKind(JsonReader &reader)
 {
     const std::string kind = reader.readString("kind", "plain");
@@ -41,7 +43,7 @@
                        [&](JsonReader &rule) { service.calls.push_back(readCallRule(rule)); });
     service.maxInFlight = static_cast<std::uint32_t>(
             reader.readNumber("max_in_flight", {1, 100'000}, service.maxInFlight));
-    service.timeout = reader.readMilliseconds("timeout_ms", service.timeout);
+    service.timeout = reader.readMilliseconds("timeout_ms", shortestTimeout, service.timeout);
     return service;
 }
 
--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -69,14 +69,20 @@
     return false;
 }
 
-core::Duration JsonReader::readMilliseconds(const char *key, std::optional<core::Duration> fallback)
+core::Duration JsonReader::readMilliseconds(const char *key, core::Duration least,
+                                            std::optional<core::Duration> fallback)
 {
     using std::chrono::milliseconds;
     constexpr std::uint64_t dayInMilliseconds = 86'400'000;
+    const auto toMilliseconds = [](core::Duration duration) {
+        return static_cast<std::uint64_t>(
+                std::chrono::duration_cast<milliseconds>(duration).count());
+    };
     std::optional<std::uint64_t> fallbackNumber;
     if (fallback)
-        fallbackNumber = std::chrono::duration_cast<milliseconds>(*fallback).count();
-    return milliseconds(this->readNumber(key, {0, dayInMilliseconds}, fallbackNumber));
+        fallbackNumber = toMilliseconds(*fallback);
+    return milliseconds(
+            this->readNumber(key, {toMilliseconds(least), dayInMilliseconds}, fallbackNumber));
 }
 
 std::vector<std::string> JsonReader::readStrings(const char *key)
--- a/packages/node/src/settings.cpp
+++ b/packages/node/src/settings.cpp
@@ -26,13 +26,7 @@
     return uri;
 }
 
-core::Duration readPeriod(JsonReader &reader, const char *key, core::Duration fallback)
-{
-    const core::Duration period = reader.readMilliseconds(key, fallback);
-    if (period == core::Duration::zero())
-        reader.report(key, "is 0", "1 or more");
-    return period;
-}
+constexpr core::Duration shortestPeriod = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -51,8 +45,10 @@
     settings.peersAddress = readAddress(reader, "peers");
     settings.platformUri = readUri(reader, "platform");
     settings.seeds = reader.readStrings("seeds");
-    settings.controlPeriod = readPeriod(reader, "control_period_ms", settings.controlPeriod);
-    settings.drainLimit = readPeriod(reader, "drain_limit_ms", settings.drainLimit);
+    settings.controlPeriod =
+            reader.readMilliseconds("control_period_ms", shortestPeriod, settings.controlPeriod);
+    settings.drainLimit =
+            reader.readMilliseconds("drain_limit_ms", shortestPeriod, settings.drainLimit);
     if (settings.node.empty())
         reader.report("node", "is empty", "a non-empty name");
     reader.finish();
