Set down the interfaces of leases and engine reports

Cause: claims, steps and routing stand on leases and on engines' reports, and are built side by side. Change: core types and pure look-ups for both, delivered as events to the dispatch and rollout duties; a fencing number is the version of the row fence/SHARD, which only a takeover writes, so that renewals do not disturb conditional commits. Ruled out: the version of the renewed lease row as fencing number, since each renewal would make commits under way fail.

--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/control.hpp>
+#include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/result.hpp>
 #include <geraniumpulley/core/rollout.hpp>
 #include <geraniumpulley/core/view.hpp>
@@ -43,6 +44,10 @@
 core::Result<std::vector<TableRow>> decodeRows(const std::string &body);
 core::Result<std::vector<core::Target>> decodeTargets(const std::string &body);
 
+/// \return the condition that a shard's holder has not changed. The row `fence/SHARD` is written
+/// only when a holder takes over, so its version is the fencing number.
+RowCheck fenceCheck(const core::Shard &shard, core::FencingNumber fence);
+
 /// The row that holds the newest configuration.
 inline constexpr const char *configurationRowKey = "configuration/current";
 /// The prefix of the audit trail; rows sort by version.
--- a/packages/codec/src/platform_messages.cpp
+++ b/packages/codec/src/platform_messages.cpp
@@ -105,6 +105,11 @@
     return targets;
 }
 
+RowCheck fenceCheck(const core::Shard &shard, core::FencingNumber fence)
+{
+    return {"fence/" + core::nameOf(shard), core::number(fence)};
+}
+
 TableTransaction configurationTransaction(const core::CommitConfiguration &commit)
 {
     const std::string auditKey =
--- a/packages/core/include/geraniumpulley/core/dispatch.hpp
+++ b/packages/core/include/geraniumpulley/core/dispatch.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/outcome.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
@@ -80,9 +82,18 @@
 {
     ViewPointer view;
 };
+struct DispatchLeasesChanged
+{
+    LeaseTablePointer leases;
+};
+struct DispatchEnginesChanged
+{
+    EngineReportsPointer engines;
+};
 
 using DispatchEvent = std::variant<CallReceived, TargetAnswered, AttemptFailed, PeerAnswered,
-                                   DispatchConfigurationChanged, DispatchViewChanged>;
+                                   DispatchConfigurationChanged, DispatchViewChanged,
+                                   DispatchLeasesChanged, DispatchEnginesChanged>;
 
 // Actions
 
@@ -125,6 +136,8 @@
     NodeId self;
     std::shared_ptr<const Configuration> configuration;
     ViewPointer view;
+    LeaseTablePointer leases;
+    EngineReportsPointer engines;
     std::map<OperationId, CallInFlight> inFlight;
     std::map<TargetId, std::uint32_t> load; ///< Calls of this node at each target.
     OperationId nextOperation{1};
--- a/packages/core/include/geraniumpulley/core/rollout.hpp
+++ b/packages/core/include/geraniumpulley/core/rollout.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
@@ -148,14 +150,22 @@
 {
     ViewPointer view;
 };
+struct RolloutLeasesChanged
+{
+    LeaseTablePointer leases;
+};
+struct RolloutEnginesChanged
+{
+    EngineReportsPointer engines;
+};
 struct RolloutTick
 {
 };
 
-using RolloutEvent =
-        std::variant<StepRequested, StepPeerAnswered, SampleGenerated, GenerationFailed,
-                     SampleScored, ScoringFailed, BatchStored, BatchStoreFailed,
-                     RolloutConfigurationChanged, RolloutViewChanged, RolloutTick>;
+using RolloutEvent = std::variant<StepRequested, StepPeerAnswered, SampleGenerated,
+                                  GenerationFailed, SampleScored, ScoringFailed, BatchStored,
+                                  BatchStoreFailed, RolloutConfigurationChanged, RolloutViewChanged,
+                                  RolloutLeasesChanged, RolloutEnginesChanged, RolloutTick>;
 
 // Actions
 
@@ -216,6 +226,8 @@
     NodeId self;
     std::shared_ptr<const Configuration> configuration;
     ViewPointer view;
+    LeaseTablePointer leases;
+    EngineReportsPointer engines;
     std::map<StepId, StepState> steps;
     std::map<TargetId, std::uint32_t> load; ///< Requests of this node at each engine or scorer.
     std::map<OperationId, ReplyToken> forwarded;
--- a/packages/core/src/dispatch.cpp
+++ b/packages/core/src/dispatch.cpp
@@ -80,6 +80,10 @@
 
     void operator()(const DispatchViewChanged &event) { this->state.view = event.view; }
 
+    void operator()(const DispatchLeasesChanged &event) { this->state.leases = event.leases; }
+
+    void operator()(const DispatchEnginesChanged &event) { this->state.engines = event.engines; }
+
     void place(CallInFlight call)
     {
         if (!this->state.configuration || !this->state.view)
--- /dev/null
+++ b/packages/core/src/engine_report.cpp
@@ -0,0 +1,14 @@
+#include <geraniumpulley/core/engine_report.hpp>
+
+#include <algorithm>
+
+namespace geraniumpulley::core {
+
+const EngineReport *findReport(const EngineReports &reports, const TargetId &target)
+{
+    const auto found = std::find_if(reports.reports.begin(), reports.reports.end(),
+                                    [&](const auto &report) { return report.target == target; });
+    return found == reports.reports.end() ? nullptr : &*found;
+}
+
+} // namespace geraniumpulley::core
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -141,6 +141,10 @@
 
     void operator()(const RolloutViewChanged &event) { this->state.view = event.view; }
 
+    void operator()(const RolloutLeasesChanged &event) { this->state.leases = event.leases; }
+
+    void operator()(const RolloutEnginesChanged &event) { this->state.engines = event.engines; }
+
     // Failed requests and batches are tried again here, which bounds their rate.
     void operator()(const RolloutTick &)
     {
