--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -24,7 +24,7 @@
 
 echo "lint: linter on ${#units[@]} sources"
 [ "${#units[@]}" -gt 0 ] || exit 0
-run-clang-tidy -quiet -p "$build" "${units[@]}" >"$build/lint.log" 2>&1 || {
+run-clang-tidy -quiet -j "${LINT_JOBS:-$(nproc)}" -p "$build" "${units[@]}" >"$build/lint.log" 2>&1 || {
   grep -E 'error:|warning:' "$build/lint.log" | sort -u >&2
   exit 1
 }
