--- /dev/null
+++ b/bench/load_tool.cpp
@@ -0,0 +1,115 @@
+// Sends calls at a fixed rate and prints the quantiles of their times.
+//
+// The rate does not wait for answers (open loop), so a slow server does not hide its delay.
+#include <geraniumpulley/net/http_caller.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+#include <geraniumpulley/runtime/metrics.hpp>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace geraniumpulley;
+
+constexpr core::Duration callTimeout = std::chrono::seconds(5);
+
+struct Plan
+{
+    std::string address;
+    std::string path;
+    std::uint64_t rate = 0; // Calls a second.
+    std::uint64_t calls = 0;
+};
+
+struct Outcome
+{
+    std::mutex mutex;
+    std::condition_variable finished;
+    std::vector<core::Duration> times;
+    std::uint64_t failed = 0;
+};
+
+void sendOne(net::HttpCaller &caller, const Plan &plan, std::uint64_t index, Outcome &outcome)
+{
+    const core::Time start = runtime::now();
+    net::HttpRequest request;
+    request.address = plan.address;
+    request.method = "GET";
+    request.target = plan.path;
+    request.requestId = fmt::format("load-{}", index);
+    request.deadline = start + callTimeout;
+    request.done = [&outcome, start](net::HttpResult &&result) {
+        constexpr std::uint32_t statusOk = 200;
+        const std::lock_guard lock(outcome.mutex);
+        if (result.failure != net::SendFailure::None || result.status != statusOk)
+            ++outcome.failed;
+        outcome.times.push_back(runtime::now() - start);
+        outcome.finished.notify_one();
+    };
+    caller.send(std::move(request));
+}
+
+void waitUntil(core::Time due)
+{
+    std::mutex mutex;
+    std::condition_variable never;
+    std::unique_lock lock(mutex);
+    never.wait_until(lock, due, [due] { return runtime::now() >= due; });
+}
+
+core::Duration quantile(const std::vector<core::Duration> &sorted, double share)
+{
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+int run(const Plan &plan)
+{
+    auto caller = net::HttpCaller::create({});
+    if (!caller)
+        return 1;
+    Outcome outcome;
+    const core::Duration gap = core::Duration(std::chrono::seconds(1)) / plan.rate;
+    const core::Time start = runtime::now();
+    for (std::uint64_t i = 0; i < plan.calls; ++i) {
+        waitUntil(start + gap * i);
+        sendOne(*caller.value(), plan, i, outcome);
+    }
+    std::unique_lock lock(outcome.mutex);
+    outcome.finished.wait(lock, [&] { return outcome.times.size() == plan.calls; });
+    std::sort(outcome.times.begin(), outcome.times.end());
+    fmt::print("p50_us={} p99_us={} max_us={} failed={}\n", quantile(outcome.times, 0.5).count(),
+               quantile(outcome.times, 0.99).count(), outcome.times.back().count(), outcome.failed);
+    return outcome.failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("load_tool", "Sends GET calls at a fixed rate.");
+    options.add_options()("address", "ip:port", cxxopts::value<std::string>())(
+            "path", "path and query", cxxopts::value<std::string>()->default_value("/"))(
+            "rate", "calls a second", cxxopts::value<std::uint64_t>()->default_value("100"))(
+            "calls", "how many", cxxopts::value<std::uint64_t>()->default_value("300"));
+    try {
+        const auto arguments = options.parse(argc, argv);
+        const Plan plan{arguments["address"].as<std::string>(), arguments["path"].as<std::string>(),
+                        std::max<std::uint64_t>(1, arguments["rate"].as<std::uint64_t>()),
+                        std::max<std::uint64_t>(1, arguments["calls"].as<std::uint64_t>())};
+        return run(plan);
+    } catch (const cxxopts::exceptions::exception &error) {
+        fmt::print(stderr, "event=usage problem={:?}\n", error.what());
+        return 2;
+    }
+}
--- a/packages/net/include/geraniumpulley/net/detail/h2_session.hpp
+++ b/packages/net/include/geraniumpulley/net/detail/h2_session.hpp
@@ -29,6 +29,8 @@
         std::function<void(std::int32_t stream, SendFailure failure, std::string body)> onReply;
         /// The connection ended; no handler runs after it.
         std::function<void()> onClosed;
+        /// Bytes were read from or written to the socket.
+        std::function<void(std::size_t bytes)> onTraffic;
     };
 
     static std::shared_ptr<H2Session> create(Role role, boost::asio::ip::tcp::socket socket,
--- a/packages/net/include/geraniumpulley/net/peer_link.hpp
+++ b/packages/net/include/geraniumpulley/net/peer_link.hpp
@@ -65,6 +65,9 @@
     /// \return the port that it listens on.
     [[nodiscard]] std::uint16_t port() const;
 
+    /// \return the bytes read and written on all connections so far.
+    [[nodiscard]] std::uint64_t traffic() const;
+
     /// Sends a message; from any thread, never blocks. When the ring is full, `done` runs at once
     /// on the calling thread with `NotSent`.
     void send(PeerRequest &&request);
--- a/packages/net/include/geraniumpulley/net/platform_client.hpp
+++ b/packages/net/include/geraniumpulley/net/platform_client.hpp
@@ -49,6 +49,9 @@
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
+    /// \return the bytes of paths and bodies sent and received so far.
+    [[nodiscard]] std::uint64_t traffic() const;
+
     /// Sends a call; from any thread, never blocks. When the ring is full, `done` runs at once on
     /// the calling thread, unanswered.
     void send(PlatformRequest &&request);
--- a/packages/net/src/h2_session.cpp
+++ b/packages/net/src/h2_session.cpp
@@ -212,6 +212,7 @@
                     return;
                 if (error)
                     return self->close();
+                self->handlers.onTraffic(length);
                 const ssize_t used =
                         nghttp2_session_mem_recv(self->session, self->readBuffer.data(), length);
                 if (used < 0)
@@ -241,8 +242,9 @@
     this->writing = true;
     boost::asio::async_write(
             this->socket, boost::asio::buffer(this->writeBuffer),
-            [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+            [self = this->shared_from_this()](boost::system::error_code error, std::size_t length) {
                 self->writing = false;
+                self->handlers.onTraffic(length);
                 if (error)
                     return self->close();
                 self->flush();
--- a/packages/net/src/peer_link.cpp
+++ b/packages/net/src/peer_link.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <atomic>
 #include <map>
 #include <utility>
 #include <variant>
@@ -56,9 +58,9 @@
 {
 public:
     Connection(asio::io_context &io, std::string address, std::size_t maxBodyBytes,
-               std::function<void()> onClosed)
+               std::function<void()> onClosed, std::function<void(std::size_t)> onTraffic)
         : io(io), socket(io), address(std::move(address)), maxBodyBytes(maxBodyBytes),
-          onClosed(std::move(onClosed))
+          onClosed(std::move(onClosed)), onTraffic(std::move(onTraffic))
     {
     }
 
@@ -106,6 +108,7 @@
             if (const auto self = weak.lock())
                 self->onClosed();
         };
+        handlers.onTraffic = this->onTraffic;
         this->session = H2Session::create(H2Session::Role::Client, std::move(this->socket),
                                           this->maxBodyBytes, std::move(handlers));
         this->session->start();
@@ -158,6 +161,7 @@
     std::string address;
     std::size_t maxBodyBytes;
     std::function<void()> onClosed;
+    std::function<void(std::size_t)> onTraffic;
     std::shared_ptr<H2Session> session;
     std::vector<OpenRequestPointer> pending;
     std::map<std::int32_t, OpenRequestPointer> streams;
@@ -225,6 +229,7 @@
             return taken;
         };
         handlers.onClosed = [this] { this->forgetClosedPaths(); };
+        handlers.onTraffic = [this](std::size_t bytes) { this->traffic += bytes; };
         const auto session = H2Session::create(H2Session::Role::Server, std::move(socket),
                                                this->settings.maxBodyBytes, std::move(handlers));
         *slot = session;
@@ -244,7 +249,8 @@
         if (position == this->connections.end()) {
             auto connection = std::make_shared<Connection>(
                     this->loop.context(), address, this->settings.maxBodyBytes,
-                    [this, address] { this->connections.erase(address); });
+                    [this, address] { this->connections.erase(address); },
+                    [this](std::size_t bytes) { this->traffic += bytes; });
             position = this->connections.emplace(address, connection).first;
             connection->open();
         }
@@ -267,6 +273,7 @@
     MessageHandler handler;
     detail::EventLoop<PeerOrder> loop;
     Tcp::acceptor acceptor;
+    std::atomic<std::uint64_t> traffic = 0;
     core::ReplyToken nextToken{1}; // Used on the loop's thread, as all below.
     std::map<core::ReplyToken, ReplyPath> replyPaths;
     std::map<std::string, std::shared_ptr<Connection>> connections;
@@ -300,6 +307,11 @@
     return this->implementation->acceptor.local_endpoint().port();
 }
 
+std::uint64_t PeerLink::traffic() const
+{
+    return this->implementation->traffic;
+}
+
 void PeerLink::send(PeerRequest &&request)
 {
     PeerOrder order(std::move(request));
--- a/packages/net/src/platform_client.cpp
+++ b/packages/net/src/platform_client.cpp
@@ -6,6 +6,7 @@
 #include <cpprest/http_client.h>
 #include <pplx/threadpool.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <utility>
@@ -96,6 +97,7 @@
         message.set_request_uri(web::uri(request.path));
         if (!request.body.empty())
             message.set_body(request.body, "application/json");
+        this->traffic += request.path.size() + request.body.size();
         this->client.request(message)
                 .then([](const web::http::http_response &response) {
                     return response.extract_utf8string(true).then(
@@ -105,13 +107,16 @@
                 })
                 .then([this,
                        done = std::move(request.done)](const pplx::task<PlatformReply> &task) {
-                    done(awaitReply(task));
+                    PlatformReply reply = awaitReply(task);
+                    this->traffic += reply.body.size();
+                    done(std::move(reply));
                     this->inFlight.release();
                 });
     }
 
     web::http::client::http_client client;
     InFlightLimit inFlight;
+    std::atomic<std::uint64_t> traffic = 0;
     runtime::Duty<PlatformRequest> duty;
 };
 
@@ -136,6 +141,11 @@
     return std::unique_ptr<PlatformClient>(new PlatformClient(std::move(implementation)));
 }
 
+std::uint64_t PlatformClient::traffic() const
+{
+    return this->implementation->traffic;
+}
+
 void PlatformClient::send(PlatformRequest &&request)
 {
     if (!this->implementation->duty.inbox().tryPush(std::move(request)))
--- a/packages/node/src/operator_routes.cpp
+++ b/packages/node/src/operator_routes.cpp
@@ -4,6 +4,8 @@
 #include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <fmt/format.h>
+
 #include <string>
 #include <utility>
 
@@ -54,6 +56,14 @@
     return true;
 }
 
+std::string renderMetrics(const Parts &parts)
+{
+    return parts.metrics.render()
+           + fmt::format("peer_bytes {}\nplatform_bytes {}\nlog_lines_dropped {}\n",
+                         parts.peers->traffic(), parts.platform->traffic(),
+                         parts.logger.droppedLines());
+}
+
 } // namespace
 
 bool routeOperator(Parts &parts, net::DoorRequest &&request)
@@ -72,7 +82,7 @@
     if (route == "GET /healthz")
         return answer(parts, request.token, statusOk, R"({"alive":true})");
     if (route == "GET /metrics")
-        return answer(parts, request.token, statusOk, parts.metrics.render(), "text/plain");
+        return answer(parts, request.token, statusOk, renderMetrics(parts), "text/plain");
     return answer(parts, request.token, statusNotFound, R"({"error":"no such page"})");
 }
 
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy clang-tools curl
   libboost-dev libcpprest-dev libssl-dev libnghttp2-dev libmsgpack-cxx-dev libcxxopts-dev libfmt-dev
-  libxxhash-dev doctest-dev librapidcheck-dev)
+  gnuplot-nox libxxhash-dev doctest-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
