Stream answers in parts between engines and nodes

Cause: a generation arrived whole or not at all, so a crash lost every token already made and the stand-in could not change version within it. Ruled out: a second client for streams; the caller's one request on one connection already gives what at most once needs.

--- a/packages/net/include/geraniumpulley/net/http_caller.hpp
+++ b/packages/net/include/geraniumpulley/net/http_caller.hpp
@@ -38,6 +38,9 @@
     core::Time deadline{};
     /// Runs on the caller's thread, exactly once; may block on a ring that its duty drains.
     std::function<void(HttpResult &&)> done;
+    /// When set, takes the body of an answer with status 200 piece by piece as it arrives, before
+    /// `done`, whose result then has no body. Pieces are not kept, so the body may have any length.
+    std::function<void(std::string &&)> onPart = {};
 };
 
 struct CallerSettings
--- a/packages/net/include/geraniumpulley/net/http_door.hpp
+++ b/packages/net/include/geraniumpulley/net/http_door.hpp
@@ -31,6 +31,14 @@
     std::string body;
 };
 
+/// Which piece of an answer a `DoorAnswer` carries; one that is not whole is sent in chunks.
+enum class AnswerPart {
+    Whole,
+    First, ///< Status, headers and a first piece of the body.
+    More,
+    Last, ///< Ends the body; later parts are ignored.
+};
+
 struct DoorAnswer
 {
     core::ReplyToken token{};
@@ -38,7 +46,8 @@
     std::string contentType = "application/json";
     std::vector<HttpHeader> headers;
     std::string body;
-    bool drop = false; ///< Closes the connection without an answer.
+    bool drop = false; ///< Closes the connection without an answer, or within one.
+    AnswerPart part = AnswerPart::Whole;
 };
 
 struct DoorSettings
--- a/packages/net/src/http_caller.cpp
+++ b/packages/net/src/http_caller.cpp
@@ -16,6 +16,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr const char *requestIdHeader = "X-Request-Id";
+constexpr std::size_t maxPartBytes = 1024 * 1024;
 
 // One request on its own connection; its callbacks hold it alive.
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -24,7 +25,10 @@
     Exchange(asio::io_context &io, HttpRequest request, std::size_t maxBodyBytes)
         : stream(io), order(std::move(request))
     {
-        this->parser.body_limit(maxBodyBytes);
+        if (this->order.onPart)
+            this->parser.body_limit(boost::none);
+        else
+            this->parser.body_limit(maxBodyBytes);
     }
 
     void start()
@@ -66,6 +70,8 @@
     {
         if (error)
             return this->fail(SendFailure::Lost);
+        if (this->order.onPart)
+            return this->readPart();
         http::async_read(
                 this->stream, this->buffer, this->parser,
                 [self = this->shared_from_this()](beast::error_code readError, std::size_t) {
@@ -73,14 +79,44 @@
                 });
     }
 
-    void onRead(beast::error_code error)
+    void readPart()
     {
-        if (error)
+        http::async_read_some(
+                this->stream, this->buffer, this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    self->onPartRead(error);
+                });
+    }
+
+    // Only a 200 is handed on in pieces; other bodies are small errors and have a limit.
+    void onPartRead(beast::error_code error)
+    {
+        if (error || !this->isOwnAnswer())
             return this->fail(SendFailure::Lost);
-        auto &response = this->parser.get();
+        std::string &body = this->parser.get().body();
+        if (body.size() > maxPartBytes)
+            return this->fail(SendFailure::Lost);
+        if (this->parser.get().result() == http::status::ok && !body.empty())
+            this->order.onPart(std::exchange(body, {}));
+        if (this->parser.is_done())
+            return this->onRead({});
+        this->readPart();
+    }
+
+    bool isOwnAnswer()
+    {
+        if (!this->parser.is_header_done())
+            return true;
+        const auto &response = this->parser.get();
         const auto echoed = response.find(requestIdHeader);
-        if (echoed != response.end() && echoed->value() != this->order.requestId)
+        return echoed == response.end() || echoed->value() == this->order.requestId;
+    }
+
+    void onRead(beast::error_code error)
+    {
+        if (error || !this->isOwnAnswer())
             return this->fail(SendFailure::Lost);
+        auto &response = this->parser.get();
         HttpResult result;
         result.status = response.result_int();
         result.contentType = std::string(response[http::field::content_type]);
--- a/packages/net/src/http_door.cpp
+++ b/packages/net/src/http_door.cpp
@@ -8,8 +8,10 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace geraniumpulley::net {
@@ -20,6 +22,9 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
+// A reader slower than its answer by this many parts is cut off, which bounds memory.
+constexpr std::size_t maxWaitingParts = 1024;
+
 constexpr const char *queueFullBody = R"({"outcome":"not_run","reason":"queue_full"})";
 
 } // namespace
@@ -121,7 +126,67 @@
                           });
     }
 
+    void writePart(DoorAnswer &&answer)
+    {
+        this->parts.push_back(std::move(answer));
+        if (this->parts.size() > maxWaitingParts)
+            return this->close();
+        if (this->parts.size() == 1)
+            this->writeNextPart();
+    }
+
 private:
+    void writeNextPart()
+    {
+        DoorAnswer &part = this->parts.front();
+        if (part.drop)
+            return this->close();
+        this->chunk.clear();
+        auto append = [this](const auto &buffers) {
+            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
+                this->chunk.append(static_cast<const char *>(buffer.data()), buffer.size());
+        };
+        if (part.part == AnswerPart::First)
+            this->chunk = this->encodeHeader(part);
+        if (!part.body.empty())
+            append(http::make_chunk(asio::buffer(part.body)));
+        if (part.part == AnswerPart::Last)
+            append(http::make_chunk_last());
+        this->stream.expires_after(this->door.settings.writeTimeout);
+        asio::async_write(this->stream, asio::buffer(this->chunk),
+                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              self->onPartWritten(error);
+                          });
+    }
+
+    std::string encodeHeader(const DoorAnswer &part) const
+    {
+        http::response<http::empty_body> header;
+        header.version(11);
+        header.result(part.status);
+        header.set(http::field::content_type, part.contentType);
+        for (const HttpHeader &field : part.headers)
+            header.set(field.name, field.value);
+        header.keep_alive(this->keepAlive);
+        header.chunked(true);
+        std::ostringstream text;
+        text << header.base();
+        return text.str();
+    }
+
+    void onPartWritten(beast::error_code error)
+    {
+        if (error)
+            return this->close();
+        const bool isLast = this->parts.front().part == AnswerPart::Last;
+        this->parts.pop_front();
+        if (isLast)
+            return this->onWritten(error);
+        this->stream.expires_never();
+        if (!this->parts.empty())
+            this->writeNextPart();
+    }
+
     void onRead(beast::error_code error)
     {
         if (error == http::error::body_limit)
@@ -188,6 +253,8 @@
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    std::deque<DoorAnswer> parts; // Of an answer in chunks; the first one is being written.
+    std::string chunk;
     bool keepAlive = false;
 };
 
@@ -209,8 +276,13 @@
     if (position == this->waiting.end())
         return;
     const std::shared_ptr<Session> session = position->second;
-    this->waiting.erase(position);
-    session->write(std::move(answer));
+    const bool isWhole = answer.part == AnswerPart::Whole;
+    if (isWhole || answer.part == AnswerPart::Last || answer.drop)
+        this->waiting.erase(position);
+    if (isWhole)
+        session->write(std::move(answer));
+    else
+        session->writePart(std::move(answer));
 }
 
 HttpDoor::HttpDoor(std::unique_ptr<Implementation> implementation)
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -24,14 +24,13 @@
 
 constexpr std::size_t ringCapacity = 4096;
 
-// Gives answers to the door when their delay has passed.
+// Runs actions, such as giving an answer to the door, when their delay has passed.
 class DelayedAnswers
 {
 public:
-    explicit DelayedAnswers(std::function<void(DoorAnswer &&)> give)
-        : give(std::move(give)), thread([this] { this->run(); })
-    {
-    }
+    using Action = std::function<void()>;
+
+    DelayedAnswers() : thread([this] { this->run(); }) { }
 
     ~DelayedAnswers()
     {
@@ -46,10 +45,10 @@
     DelayedAnswers(const DelayedAnswers &) = delete;
     DelayedAnswers &operator=(const DelayedAnswers &) = delete;
 
-    void add(core::Time due, DoorAnswer &&answer)
+    void add(core::Time due, Action &&action)
     {
         const std::lock_guard lock(this->mutex);
-        this->answers.emplace(due, std::move(answer));
+        this->answers.emplace(due, std::move(action));
         this->changed.notify_one();
     }
 
@@ -65,16 +64,15 @@
             } else {
                 auto first = this->answers.extract(this->answers.begin());
                 lock.unlock();
-                this->give(std::move(first.mapped()));
+                first.mapped()();
                 lock.lock();
             }
         }
     }
 
-    std::function<void(DoorAnswer &&)> give;
     std::mutex mutex;
     std::condition_variable changed;
-    std::multimap<core::Time, DoorAnswer> answers;
+    std::multimap<core::Time, Action> answers;
     bool stopping = false;
     std::thread thread;
 };
@@ -93,6 +91,7 @@
     Fault fault;
     std::unique_ptr<net::HttpDoor> door;
     std::unique_ptr<DelayedAnswers> answers;
+    std::mutex mutex; // Of the service, which requests and the parts of answers in chunks call.
 
     void handle(const DoorRequest &request)
     {
@@ -110,11 +109,50 @@
         answer.status = reply.status;
         answer.body = std::move(reply.body);
         answer.drop = active.mode == "down" || active.mode == "lose_answer";
-        this->answers->add(runtime::now() + reply.delay + active.delay, std::move(answer));
+        if (reply.next)
+            return this->scheduleFirst(std::move(answer), std::move(reply), active.delay);
+        const core::Time due = runtime::now() + reply.delay + active.delay;
+        this->answers->add(due, [this, answer = std::move(answer)]() mutable {
+            this->door->answer(std::move(answer));
+        });
+    }
+
+    void scheduleFirst(DoorAnswer &&answer, standin::Reply &&reply, core::Duration delay)
+    {
+        answer.part = net::AnswerPart::First;
+        reply.body = std::move(answer.body);
+        reply.delay += delay;
+        this->schedulePart(std::move(answer), std::move(reply));
+    }
+
+    void schedulePart(DoorAnswer &&answer, standin::Reply &&reply)
+    {
+        answer.body = std::move(reply.body);
+        answer.drop = answer.drop || reply.cut;
+        this->answers->add(runtime::now() + reply.delay,
+                           [this, answer = std::move(answer), next = std::move(reply.next)] {
+                               this->door->answer(DoorAnswer(answer));
+                               if (next && !answer.drop)
+                                   this->continueAnswer(answer.token, next);
+                           });
+    }
+
+    void continueAnswer(core::ReplyToken token, const std::function<standin::Reply()> &next)
+    {
+        standin::Reply reply;
+        {
+            const std::lock_guard lock(this->mutex);
+            reply = next();
+        }
+        DoorAnswer answer;
+        answer.token = token;
+        answer.part = reply.next ? net::AnswerPart::More : net::AnswerPart::Last;
+        this->schedulePart(std::move(answer), std::move(reply));
     }
 
     standin::Reply run(const DoorRequest &request)
     {
+        const std::lock_guard lock(this->mutex);
         try {
             return this->service(request);
         } catch (const web::json::json_exception &error) {
@@ -174,8 +212,7 @@
         return 1;
     }
     server.door = std::move(door.value());
-    server.answers = std::make_unique<DelayedAnswers>(
-            [&server](DoorAnswer &&answer) { server.door->answer(std::move(answer)); });
+    server.answers = std::make_unique<DelayedAnswers>();
     duty.start("standin", [&server](DoorRequest &&request) { server.handle(request); });
     fmt::print(stderr, "event=started role={} port={}\n", role, server.door->port());
     runtime::waitForStopSignal();
--- a/tests/standins/standin.hpp
+++ b/tests/standins/standin.hpp
@@ -15,6 +15,10 @@
     std::uint32_t status = 200;
     std::string body = "{}";
     geraniumpulley::core::Duration delay{};
+    /// When set, `body` is a part of an answer in chunks; called for the next one once this one is
+    /// sent.
+    std::function<Reply()> next = {};
+    bool cut = false; ///< Cuts the connection in place of this part.
 };
 
 /// Serves one request; runs on one thread, so it needs no locks.
