--- a/packages/net/tests/unit-peer_link.cpp
+++ b/packages/net/tests/unit-peer_link.cpp
@@ -64,6 +64,7 @@
     const Echo echo;
     const auto link = makeLink(refuseAll);
     std::vector<std::future<net::PeerReply>> replies;
+    replies.reserve(200);
     for (int i = 0; i < 200; ++i)
         replies.push_back(send(*link, addressOf(*echo.link), "body " + std::to_string(i)));
     for (int i = 0; i < 200; ++i) {
