Hold shards by leases with fencing numbers

Cause: shards of claims and steps had an interface but no holder.

Change: one row for each node that holds or is first in line for a shard, renewed in one transaction together with all changes of holders. A fence row is written only when the holder changes. A shard is handed over only to a node that is seen to renew. A planned stop hands everything over first. A process that meets a newer incarnation of itself gives up for good.

--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/core/control.hpp>
 #include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/lease_manager.hpp>
 #include <geraniumpulley/core/result.hpp>
 #include <geraniumpulley/core/rollout.hpp>
 #include <geraniumpulley/core/view.hpp>
@@ -48,6 +49,18 @@
 /// only when a holder takes over, so its version is the fencing number.
 RowCheck fenceCheck(const core::Shard &shard, core::FencingNumber fence);
 
+/// The prefix of the rows that name the shards' holders.
+inline constexpr const char *fenceRowPrefix = "fence/";
+
+/// \return the key of a node's lease row.
+std::string leaseRowKey(const core::NodeId &node);
+
+/// The transaction that renews a node's lease and changes holders.
+TableTransaction leaseTransaction(const core::CommitLeases &commit);
+core::Result<core::LeaseRecord> decodeLeaseRecord(const std::string &value);
+/// Rows of unknown shards are left out; they belong to another release.
+core::Result<std::vector<core::FenceRow>> decodeFenceRows(const std::vector<TableRow> &rows);
+
 /// The row that holds the newest configuration.
 inline constexpr const char *configurationRowKey = "configuration/current";
 /// The prefix of the audit trail; rows sort by version.
--- a/packages/core/include/geraniumpulley/core/control.hpp
+++ b/packages/core/include/geraniumpulley/core/control.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/core/configuration.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/lease_manager.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
@@ -89,9 +90,10 @@
 {
 };
 
-using ControlEvent = std::variant<SubmissionReceived, CommitSucceeded, CommitRefused,
-                                  CommitUncertain, ConfigurationRead, TargetsListed,
-                                  AnnouncementReceived, DocumentReceived, StatusAsked, ControlTick>;
+using ControlEvent =
+        std::variant<SubmissionReceived, CommitSucceeded, CommitRefused, CommitUncertain,
+                     ConfigurationRead, TargetsListed, AnnouncementReceived, DocumentReceived,
+                     StatusAsked, ControlTick, LeaseEvent>;
 
 // Actions
 
@@ -144,9 +146,9 @@
     ViewPointer view;
 };
 
-using ControlAction =
-        std::variant<CommitConfiguration, ReadConfiguration, ListTargets, SendAnnouncement,
-                     SendDocument, AnswerSubmission, AnswerStatus, PutInForce, PublishView>;
+using ControlAction = std::variant<CommitConfiguration, ReadConfiguration, ListTargets,
+                                   SendAnnouncement, SendDocument, AnswerSubmission, AnswerStatus,
+                                   PutInForce, PublishView, LeaseAction>;
 
 struct ControlSettings
 {
@@ -178,6 +180,7 @@
     std::vector<Target> targets;
     std::map<OperationId, PendingSubmission> submissions;
     OperationId nextOperation{1};
+    LeaseState leases;
 };
 
 /// \return the state of a node that has heard nothing yet.
--- a/packages/core/src/control.cpp
+++ b/packages/core/src/control.cpp
@@ -163,7 +163,7 @@
         for (const Node &node : announcement.nodes)
             changed = learnNode(this->state, node, this->now, false) || changed;
         if (changed)
-            this->actions.push_back(PublishView{makeView(this->state)});
+            this->publishView();
         if (announcement.version < versionInForce(this->state))
             this->actions.push_back(SendDocument{announcement.sender, *this->state.inForce});
     }
@@ -182,10 +182,24 @@
                                              makeView(this->state)});
     }
 
+    void operator()(const LeaseEvent &event)
+    {
+        for (LeaseAction &action : step(this->state.leases, event, this->now))
+            this->actions.emplace_back(std::move(action));
+    }
+
+    void publishView()
+    {
+        const ViewPointer view = makeView(this->state);
+        this->actions.push_back(PublishView{view});
+        (*this)(LeaseEvent{LeaseNodesChanged{view->nodes}});
+    }
+
     void operator()(const ControlTick &)
     {
         if (dropSilentNodes(this->state, this->now))
-            this->actions.push_back(PublishView{makeView(this->state)});
+            this->publishView();
+        (*this)(LeaseEvent{LeaseTick{}});
         this->actions.push_back(ReadConfiguration{versionInForce(this->state)});
         this->actions.push_back(ListTargets{});
         const Announcement announcement = makeAnnouncement(this->state);
@@ -206,6 +220,7 @@
 ControlState makeControlState(ControlSettings settings)
 {
     ControlState state;
+    state.leases = makeLeaseState(settings.self);
     state.settings = std::move(settings);
     return state;
 }
--- /dev/null
+++ b/packages/core/src/lease_manager.cpp
@@ -0,0 +1,360 @@
+#include <geraniumpulley/core/lease_manager.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+using Actions = std::vector<LeaseAction>;
+
+bool isOwn(const LeaseState &state, const FenceRecord &record)
+{
+    return record.holder == state.self.id && record.incarnation == state.self.incarnation;
+}
+
+// The node that watches a holder and takes over from it: the best of the others.
+const std::optional<Node> &successorOf(const ShardRanking &ranking, const NodeId &holder)
+{
+    const bool holderIsFirst = ranking.first && ranking.first->id == holder;
+    return holderIsFirst ? ranking.second : ranking.first;
+}
+
+bool isSelf(const LeaseState &state, const std::optional<Node> &node)
+{
+    return node && node->id == state.self.id;
+}
+
+bool membersAreSettled(const LeaseState &state, Time now)
+{
+    return now - state.membersSince >= state.settings.settle;
+}
+
+ShardRanking rank(const Shard &shard, const std::vector<Node> &nodes)
+{
+    const std::string name = nameOf(shard);
+    ShardRanking ranking;
+    const Node *first = ownerOf(name, nodes);
+    if (first == nullptr)
+        return ranking;
+    ranking.first = *first;
+    std::vector<Node> others;
+    std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(others),
+                 [&](const Node &node) { return node.id != first->id; });
+    if (const Node *second = ownerOf(name, others))
+        ranking.second = *second;
+    return ranking;
+}
+
+LeaseTablePointer makeTable(const LeaseState &state)
+{
+    auto table = std::make_shared<LeaseTable>();
+    table->self = state.self.id;
+    for (const auto &[shard, known] : state.fences) {
+        const FenceRecord &record = known.row.record;
+        if (record.holder.value.empty())
+            continue;
+        ShardLease lease{record.holder, known.row.fence, {}};
+        if (isOwn(state, record) && state.renewed && !state.superseded && !state.stopping)
+            lease.validUntil = *state.renewed + state.settings.ttl - state.settings.margin;
+        table->leases.emplace(shard, std::move(lease));
+    }
+    return table;
+}
+
+struct Handler
+{
+    LeaseState &state;
+    Time now;
+    Actions actions;
+
+    void operator()(const LeaseTick &)
+    {
+        if (this->state.superseded)
+            return;
+        const auto &lastRead = this->state.fencesRead;
+        if (!lastRead || this->now - *lastRead >= this->state.settings.fencesPeriod)
+            this->actions.push_back(ReadFences{});
+        if (!this->state.ownRow)
+            this->actions.push_back(ReadLeaseRow{this->state.self.id});
+        this->watchLeases();
+        this->commitChanges();
+    }
+
+    void operator()(const LeaseNodesChanged &event)
+    {
+        this->state.membersSince = this->now;
+        for (const Shard &shard : allShards())
+            this->state.rankings[shard] = rank(shard, event.nodes);
+    }
+
+    void operator()(const FencesRead &event)
+    {
+        this->state.fencesRead = this->now;
+        bool changed = false;
+        for (const FenceRow &row : event.rows)
+            changed = this->learn(row) || changed;
+        if (changed)
+            this->publish();
+    }
+
+    void operator()(const LeaseRowRead &event)
+    {
+        if (event.node == this->state.self.id)
+            return this->onOwnRow(event);
+        LeaseObservation &seen = this->state.observations[event.node];
+        // Time in which the row could not be read proves nothing about its holder.
+        const bool gap = this->now - seen.lastRead > this->state.settings.watchGap;
+        if (gap || seen.version != event.version || seen.record != event.record)
+            seen = LeaseObservation{event.record, event.version, this->now, {}, !gap};
+        seen.lastRead = this->now;
+    }
+
+    void operator()(const LeaseCommitAnswered &event)
+    {
+        if (!this->state.commit)
+            return;
+        switch (event.result) {
+        case CommitResult::Committed:
+            this->state.ownRow = next(this->state.commit->commit.expected);
+            return this->onCommitted();
+        case CommitResult::Refused:
+            this->state.commit.reset();
+            this->state.renewOnly = true;
+            break;
+        case CommitResult::Uncertain:
+            this->state.commit->uncertain = true;
+            break;
+        }
+        this->state.ownRow.reset();
+        this->actions.push_back(ReadLeaseRow{this->state.self.id});
+        this->actions.push_back(ReadFences{});
+    }
+
+    void operator()(const FencesChangedHeard &) { this->actions.push_back(ReadFences{}); }
+
+    void operator()(const LeaseReleaseAsked &)
+    {
+        this->state.stopping = true;
+        this->publish();
+        this->commitChanges();
+    }
+
+    // A transaction that is still on its way changes the row when it lands, so a later one that
+    // expects the version read here is refused and the row is read back again.
+    void onOwnRow(const LeaseRowRead &event)
+    {
+        const LeaseRecord record = event.record.value_or(LeaseRecord{});
+        if (record.incarnation > this->state.self.incarnation) {
+            this->state.superseded = true;
+            this->state.commit.reset();
+            return this->publish();
+        }
+        if (this->state.ownRow || (this->state.commit && !this->state.commit->uncertain))
+            return;
+        this->state.ownRow = event.version;
+        if (!this->state.commit)
+            return;
+        if (record == this->state.commit->commit.renewal)
+            return this->onCommitted();
+        this->state.commit.reset();
+    }
+
+    void onCommitted()
+    {
+        const LeaseCommit done = *std::exchange(this->state.commit, std::nullopt);
+        this->state.renewed = done.sent;
+        this->state.renewOnly = false;
+        for (const FenceChange &change : done.commit.changes) {
+            this->learn({change.expected.shard, change.record, next(change.expected.fence)});
+            if (!isOwn(this->state, change.record))
+                this->tellSuccessor(change);
+        }
+        this->publish();
+    }
+
+    void tellSuccessor(const FenceChange &change)
+    {
+        const ShardRanking &ranking = this->state.rankings[change.expected.shard];
+        for (const std::optional<Node> &node : {ranking.first, ranking.second}) {
+            if (node && node->id == change.record.holder)
+                this->actions.push_back(TellFencesChanged{*node});
+        }
+    }
+
+    // Replies may be late or out of order; the higher fencing number is the newer holder.
+    bool learn(const FenceRow &row)
+    {
+        KnownFence &known = this->state.fences[row.shard];
+        if (row.fence <= known.row.fence)
+            return false;
+        known = KnownFence{row, this->now};
+        const FenceRecord &record = row.record;
+        const bool newerSelf = record.holder == this->state.self.id
+                               && record.incarnation > this->state.self.incarnation;
+        this->state.superseded = this->state.superseded || newerSelf;
+        return true;
+    }
+
+    void publish() { this->actions.push_back(PublishLeases{makeTable(this->state)}); }
+
+    // A shard's contender watches its holder; a holder watches the node that it will hand over to.
+    std::optional<NodeId> watchedFor(const KnownFence &known)
+    {
+        const NodeId &holder = known.row.record.holder;
+        const ShardRanking &ranking = this->state.rankings[known.row.shard];
+        if (holder.value.empty() || !ranking.first)
+            return std::nullopt;
+        if (holder != this->state.self.id)
+            return isSelf(this->state, successorOf(ranking, holder)) ? std::optional(holder)
+                                                                     : std::nullopt;
+        return isSelf(this->state, ranking.first) ? std::nullopt : std::optional(ranking.first->id);
+    }
+
+    void watchLeases()
+    {
+        std::set<NodeId> watched;
+        for (const auto &[shard, known] : this->state.fences) {
+            if (auto node = this->watchedFor(known))
+                watched.insert(std::move(*node));
+        }
+        std::erase_if(this->state.observations,
+                      [&](const auto &entry) { return !watched.contains(entry.first); });
+        for (const NodeId &node : watched)
+            this->actions.push_back(ReadLeaseRow{node});
+    }
+
+    void commitChanges()
+    {
+        if (this->state.commit || !this->state.ownRow || !this->state.fencesRead
+            || this->state.superseded)
+            return;
+        std::vector<FenceChange> changes;
+        bool renews = false;
+        for (const Shard &shard : allShards()) {
+            const KnownFence &known = this->fenceOf(shard);
+            // The best node of a shard renews before it holds it, so that its holder sees it live.
+            renews = renews || isOwn(this->state, known.row.record)
+                     || (!this->state.stopping
+                         && isSelf(this->state, this->state.rankings[shard].first));
+            std::optional<FenceChange> change = this->changeOf(known);
+            if (change && !this->state.renewOnly)
+                changes.push_back(std::move(*change));
+        }
+        this->state.renewOnly = false;
+        if (!renews && changes.empty())
+            return;
+        const LeaseRecord renewal{this->state.self.incarnation, ++this->state.counter};
+        CommitLeases commit{this->state.self.id, renewal, *this->state.ownRow, std::move(changes)};
+        this->state.commit = LeaseCommit{commit, this->now, false};
+        this->actions.push_back(std::move(commit));
+    }
+
+    const KnownFence &fenceOf(const Shard &shard)
+    {
+        KnownFence &known = this->state.fences[shard];
+        known.row.shard = shard;
+        return known;
+    }
+
+    std::optional<FenceChange> changeOf(const KnownFence &known)
+    {
+        const FenceRecord &record = known.row.record;
+        const ShardRanking &ranking = this->state.rankings[known.row.shard];
+        if (isOwn(this->state, record))
+            return this->handover(known, ranking);
+        if (this->state.stopping || !membersAreSettled(this->state, this->now))
+            return std::nullopt;
+        const FenceRecord own{this->state.self.id, this->state.self.incarnation};
+        if (record.holder.value.empty() && isSelf(this->state, ranking.first))
+            return FenceChange{known.row, own, std::nullopt};
+        if (record.holder == this->state.self.id) // An earlier process under this id.
+            return FenceChange{known.row, own, std::nullopt};
+        if (!record.holder.value.empty()
+            && isSelf(this->state, successorOf(ranking, record.holder)))
+            return this->takeover(known, own);
+        return std::nullopt;
+    }
+
+    std::optional<FenceChange> handover(const KnownFence &known, const ShardRanking &ranking)
+    {
+        const auto &heir =
+                this->state.stopping ? successorOf(ranking, this->state.self.id) : ranking.first;
+        if (this->state.stopping && !heir)
+            return FenceChange{known.row, FenceRecord{}, std::nullopt};
+        if (!heir || isSelf(this->state, heir))
+            return std::nullopt;
+        const bool mayChange =
+                this->state.stopping
+                || (membersAreSettled(this->state, this->now) && this->renewsNow(*heir));
+        if (!mayChange)
+            return std::nullopt;
+        return FenceChange{known.row, {heir->id, heir->incarnation}, std::nullopt};
+    }
+
+    // Messages of a node do not tell whether it reaches the store; only its renewals do.
+    bool renewsNow(const Node &node)
+    {
+        const auto position = this->state.observations.find(node.id);
+        if (position == this->state.observations.end())
+            return false;
+        const LeaseObservation &seen = position->second;
+        return seen.wasRenewed && seen.record && seen.record->incarnation == node.incarnation
+               && seen.lastRead - seen.unchangedSince < this->state.settings.ttl;
+    }
+
+    std::optional<FenceChange> takeover(const KnownFence &known, const FenceRecord &own)
+    {
+        const auto position = this->state.observations.find(known.row.record.holder);
+        if (position == this->state.observations.end())
+            return std::nullopt;
+        const LeaseObservation &seen = position->second;
+        const bool restarted =
+                seen.record && seen.record->incarnation > known.row.record.incarnation;
+        const Time silentSince = std::max(seen.unchangedSince, known.learnt);
+        const bool silent = seen.lastRead - silentSince >= this->state.settings.ttl;
+        if (!restarted && !silent)
+            return std::nullopt;
+        return FenceChange{known.row, own, seen.version};
+    }
+};
+
+} // namespace
+
+LeaseState makeLeaseState(Node self, LeaseSettings settings)
+{
+    LeaseState state;
+    state.self = std::move(self);
+    state.settings = settings;
+    for (const Shard &shard : allShards())
+        state.rankings[shard].first = state.self;
+    return state;
+}
+
+std::vector<Shard> allShards()
+{
+    std::vector<Shard> shards;
+    for (const ShardKind kind : {ShardKind::Claims, ShardKind::Steps}) {
+        for (std::uint32_t index = 0; index < shardCount; ++index)
+            shards.push_back({kind, index});
+    }
+    return shards;
+}
+
+bool hasReleased(const LeaseState &state)
+{
+    const bool holdsAny =
+            std::any_of(state.fences.begin(), state.fences.end(),
+                        [&](const auto &entry) { return isOwn(state, entry.second.row.record); });
+    return state.superseded || !holdsAny;
+}
+
+std::vector<LeaseAction> step(LeaseState &state, const LeaseEvent &event, Time now)
+{
+    Handler handler{state, now, {}};
+    std::visit(handler, event);
+    return std::move(handler.actions);
+}
+
+} // namespace geraniumpulley::core
--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -1,10 +1,13 @@
 #include "control_duty.hpp"
 
+#include "lease_actions.hpp"
+
 #include <geraniumpulley/codec/operator_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <future>
 #include <memory>
 #include <string>
 #include <utility>
@@ -23,13 +26,20 @@
 {
     Parts &parts;
     core::ControlState state;
+    std::promise<void> released;
+    bool isReleased = false;
 
     void handle(const core::ControlEvent &event)
     {
         for (core::ControlAction &action : core::step(this->state, event, runtime::now()))
             std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
+        const core::LeaseState &leases = this->state.leases;
+        if (leases.stopping && core::hasReleased(leases) && !std::exchange(this->isReleased, true))
+            this->released.set_value();
     }
 
+    void perform(core::LeaseAction &&action) { performLease(this->parts, std::move(action)); }
+
     void perform(core::CommitConfiguration &&commit)
     {
         const std::string body = codec::encodeTransaction(codec::configurationTransaction(commit));
@@ -152,11 +162,13 @@
 
 } // namespace
 
-void startControl(Parts &parts, core::ControlSettings settings)
+std::future<void> startControl(Parts &parts, core::ControlSettings settings)
 {
     auto duty = std::make_shared<ControlDuty>(
-            ControlDuty{parts, core::makeControlState(std::move(settings))});
+            ControlDuty{parts, core::makeControlState(std::move(settings)), {}});
+    std::future<void> released = duty->released.get_future();
     parts.control.start("control", [duty](core::ControlEvent &&event) { duty->handle(event); });
+    return released;
 }
 
 } // namespace geraniumpulley::node
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 
 #include <functional>
+#include <future>
 #include <optional>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
 
 using runtime::field;
 
+constexpr core::Duration releaseLimit = std::chrono::seconds(3);
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
 
 // "127.0.0.1:0" with the port that the system chose.
@@ -62,6 +64,7 @@
     // Sources of events stop before the duties that take them, parts after the duties use them.
     ~Implementation()
     {
+        this->releaseLeases();
         this->timer.stop();
         this->parts.control.stop();
         this->parts.dispatch.stop();
@@ -84,7 +87,7 @@
                               makeIncarnation()};
         startDispatch(this->parts, self.id);
         startRollout(this->parts, self.id);
-        startControl(this->parts, {self, this->settings.seeds});
+        this->leasesReleased = startControl(this->parts, {self, this->settings.seeds});
         this->subscribeTicks();
         this->parts.logger.write(
                 "started", field("node", self.id.value), field("peers", self.address),
@@ -95,6 +98,16 @@
         return boost::outcome_v2::success();
     }
 
+    // Without an answer of the store the shards pass on when the lease has run out.
+    void releaseLeases()
+    {
+        if (!this->leasesReleased.valid())
+            return;
+        this->parts.control.inbox().push(core::LeaseEvent{core::LeaseReleaseAsked{}});
+        if (this->leasesReleased.wait_for(releaseLimit) != std::future_status::ready)
+            this->parts.logger.write("leases_not_released");
+    }
+
     core::Result<void> openParts()
     {
         Parts &parts = this->parts;
@@ -140,6 +153,7 @@
 
     Settings settings;
     Parts parts;
+    std::future<void> leasesReleased;
     runtime::TimerService timer;
 };
 
--- /dev/null
+++ b/packages/node/src/lease_actions.cpp
@@ -0,0 +1,124 @@
+#include "lease_actions.hpp"
+
+#include <geraniumpulley/codec/platform_messages.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::node {
+namespace {
+
+using runtime::field;
+
+constexpr core::Duration peerTimeout = std::chrono::seconds(2);
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusConflict = 409;
+
+void push(Parts &parts, core::LeaseEvent event)
+{
+    parts.control.deliver(std::move(event));
+}
+
+std::optional<std::vector<codec::TableRow>> readRows(const net::PlatformReply &reply)
+{
+    if (!reply.answered || reply.status != statusOk)
+        return std::nullopt;
+    auto rows = codec::decodeRows(reply.body);
+    if (!rows)
+        return std::nullopt;
+    return std::move(rows.value());
+}
+
+core::CommitResult commitResult(const net::PlatformReply &reply)
+{
+    if (reply.answered && reply.status == statusOk)
+        return core::CommitResult::Committed;
+    if (reply.answered && reply.status == statusConflict)
+        return core::CommitResult::Refused;
+    return core::CommitResult::Uncertain;
+}
+
+void onLeaseRow(Parts &parts, const core::NodeId &node, const net::PlatformReply &reply)
+{
+    const auto rows = readRows(reply);
+    if (!rows)
+        return parts.logger.write("store_unavailable", field("read", "lease"));
+    if (rows->empty())
+        return push(parts, core::LeaseRowRead{node, std::nullopt, {}});
+    const auto record = codec::decodeLeaseRecord(rows->front().value);
+    if (!record)
+        return parts.logger.write("lease_row_malformed", field("node", node.value));
+    push(parts, core::LeaseRowRead{node, record.value(), core::RowVersion{rows->front().version}});
+}
+
+struct Performer
+{
+    Parts &parts;
+
+    void operator()(const core::ReadFences &) const
+    {
+        const std::string path = std::string("/table/rows?prefix=") + codec::fenceRowPrefix;
+        this->parts.platform->send(
+                {"GET", path, {}, [&parts = this->parts](net::PlatformReply &&reply) {
+                     const auto rows = readRows(reply);
+                     if (!rows)
+                         return parts.logger.write("store_unavailable", field("read", "fences"));
+                     auto fences = codec::decodeFenceRows(*rows);
+                     if (!fences)
+                         return parts.logger.write("fence_row_malformed");
+                     push(parts, core::FencesRead{std::move(fences.value())});
+                 }});
+    }
+
+    void operator()(const core::ReadLeaseRow &read) const
+    {
+        const std::string path = "/table/rows?key=" + codec::leaseRowKey(read.node);
+        this->parts.platform->send(
+                {"GET",
+                 path,
+                 {},
+                 [&parts = this->parts, node = read.node](net::PlatformReply &&reply) {
+                     onLeaseRow(parts, node, reply);
+                 }});
+    }
+
+    void operator()(const core::CommitLeases &commit) const
+    {
+        const std::string body = codec::encodeTransaction(codec::leaseTransaction(commit));
+        for (const core::FenceChange &change : commit.changes)
+            this->parts.logger.write("lease_change_sent",
+                                     field("shard", core::nameOf(change.expected.shard)),
+                                     field("from", change.expected.record.holder.value),
+                                     field("to", change.record.holder.value));
+        this->parts.platform->send({"POST", "/table/transact", body,
+                                    [&parts = this->parts](net::PlatformReply &&reply) {
+                                        push(parts, core::LeaseCommitAnswered{commitResult(reply)});
+                                    }});
+    }
+
+    void operator()(const core::TellFencesChanged &tell) const
+    {
+        this->parts.peers->send({tell.to.address,
+                                 "/fences_changed",
+                                 {},
+                                 runtime::now() + peerTimeout,
+                                 [](net::PeerReply &&) {}});
+    }
+
+    void operator()(const core::PublishLeases &publish) const
+    {
+        this->parts.dispatch.inbox().push(core::DispatchLeasesChanged{publish.table});
+        this->parts.rollout.inbox().push(core::RolloutLeasesChanged{publish.table});
+    }
+};
+
+} // namespace
+
+void performLease(Parts &parts, core::LeaseAction &&action)
+{
+    std::visit(Performer{parts}, action);
+}
+
+} // namespace geraniumpulley::node
--- a/packages/node/src/peer_routes.cpp
+++ b/packages/node/src/peer_routes.cpp
@@ -30,6 +30,8 @@
         if (document)
             return routeControl(parts, message.token,
                                 core::DocumentReceived{std::move(document.value())});
+    } else if (message.path == "/fences_changed") {
+        return routeControl(parts, message.token, core::LeaseEvent{core::FencesChangedHeard{}});
     } else if (message.path == "/call") {
         auto call = codec::decodeForwardedCall(message.body);
         if (call)
