Run a call that may not be repeated at most once

Cause: depot staff retyped orders after lost answers and some were booked twice; a lost answer left nothing to recognise the retry by.

Ruled out: taking "not run" to be about one attempt. A retry whose first try may have run would be told "not run" by any node that cannot look the claim up. Such a node now says "unknown", unless the call has no key or its caller states X-Attempt: 1. Also ruled out: a key window in the configuration, because a longer one would accept keys whose claims are already deleted.

Change: the request is identified by customer, service and key, or by its content where the service derives keys. The holder of the claim's shard stores claims in groups under its fence, sends only after the commit, keeps the answer in the same rows, repeats a commit whose answer was lost, reads a refused one back by its write id, and loads the shard's rows before it serves. Expired rows are deleted.

A process must not inherit a lease of its previous life; the lease manager has to see to it. The demo books again once leases are handed out.

--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -31,6 +31,7 @@
 {
     std::vector<RowCheck> checks;
     std::vector<RowWrite> writes;
+    std::vector<std::string> deletes; ///< Keys of rows to delete.
 };
 
 struct TableRow
--- a/packages/codec/src/configuration_text.cpp
+++ b/packages/codec/src/configuration_text.cpp
@@ -23,6 +23,16 @@
     return core::ServiceKind::Plain;
 }
 
+core::WithoutKey readWithoutKey(JsonReader &reader)
+{
+    const std::string rule = reader.readString("without_key", "refuse");
+    if (rule == "derive")
+        return core::WithoutKey::Derive;
+    if (rule != "refuse")
+        reader.report("without_key", "'" + rule + "' is not a rule", "refuse or derive");
+    return core::WithoutKey::Refuse;
+}
+
 core::CallRule readCallRule(JsonReader &reader)
 {
     core::CallRule rule;
@@ -44,6 +54,7 @@
     service.maxInFlight = static_cast<std::uint32_t>(
             reader.readNumber("max_in_flight", {1, 100'000}, service.maxInFlight));
     service.timeout = reader.readMilliseconds("timeout_ms", shortestTimeout, service.timeout);
+    service.withoutKey = readWithoutKey(reader);
     return service;
 }
 
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -16,7 +16,7 @@
 using AnnouncementWire = std::tuple<NodeWire, std::uint64_t, std::vector<NodeWire>>;
 using DocumentWire = std::tuple<std::uint64_t, std::string, std::string, std::string>;
 using CallWire = std::tuple<std::string, std::string, std::string, std::string, std::string,
-                            std::string, std::string, std::int64_t>;
+                            std::string, std::string, std::int64_t, bool>;
 using CallAnswerWire = std::tuple<int, int, std::uint32_t, std::string, std::string>;
 using StepRequestWire =
         std::tuple<std::uint64_t, std::string, std::uint64_t, std::vector<std::string>,
@@ -100,7 +100,7 @@
     const core::Call &call = forwarded.call;
     return pack(CallWire{call.service.value, call.customer, call.method, call.path,
                          call.contentType, call.body, call.idempotencyKey,
-                         forwarded.timeLeft.count()});
+                         forwarded.timeLeft.count(), call.firstAttempt});
 }
 
 std::string encodePeer(const core::CallAnswer &answer)
@@ -171,8 +171,9 @@
     auto wire = unpack<CallWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[service, customer, method, path, contentType, body, key, timeLeft] = wire.value();
-    return ForwardedCall{{{service}, customer, method, path, contentType, body, key},
+    const auto &[service, customer, method, path, contentType, body, key, timeLeft, isFirst] =
+            wire.value();
+    return ForwardedCall{{{service}, customer, method, path, contentType, body, key, isFirst},
                          core::Duration(timeLeft)};
 }
 
@@ -183,7 +184,7 @@
         return wire.error();
     const auto &[outcome, reason, status, contentType, body] = wire.value();
     const bool known = outcome >= 0 && outcome <= static_cast<int>(core::Outcome::Unknown)
-                       && reason >= 0 && reason <= static_cast<int>(core::Reason::OwnerChanged);
+                       && reason >= 0 && reason <= static_cast<int>(core::Reason::CustomerLimit);
     if (!known)
         return make_error_code(Errc::WrongShape);
     return core::CallAnswer{static_cast<core::Outcome>(outcome), static_cast<core::Reason>(reason),
--- a/packages/codec/src/platform_messages.cpp
+++ b/packages/codec/src/platform_messages.cpp
@@ -72,6 +72,10 @@
     value body = value::object();
     body["checks"] = value::array(std::move(checks));
     body["writes"] = value::array(std::move(writes));
+    std::vector<value> deletes;
+    for (const std::string &key : transaction.deletes)
+        deletes.push_back(value::string(key));
+    body["deletes"] = value::array(std::move(deletes));
     return body.serialize();
 }
 
--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -26,6 +26,12 @@
     bool repeatable = false;
 };
 
+/// What becomes of a call that may not be repeated and carries no idempotency key.
+enum class WithoutKey {
+    Refuse, ///< It is refused as not run.
+    Derive, ///< Its content is its key: a retyped order gets the first one's answer.
+};
+
 struct Service
 {
     ServiceName name;
@@ -34,6 +40,7 @@
     std::vector<CallRule> calls;
     std::uint32_t maxInFlight = 32; ///< Requests at one target at a time.
     Duration timeout = std::chrono::seconds(5); ///< Used where a caller names no deadline.
+    WithoutKey withoutKey = WithoutKey::Refuse;
 };
 
 struct Trainer
--- a/packages/core/include/geraniumpulley/core/dispatch.hpp
+++ b/packages/core/include/geraniumpulley/core/dispatch.hpp
@@ -1,16 +1,18 @@
 #pragma once
 
+#include <geraniumpulley/core/call.hpp>
+#include <geraniumpulley/core/claims.hpp>
 #include <geraniumpulley/core/configuration.hpp>
 #include <geraniumpulley/core/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/lease.hpp>
-#include <geraniumpulley/core/outcome.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,28 +20,6 @@
 /// Decisions of the dispatch duty: where an application call runs and what its caller is told.
 namespace geraniumpulley::core {
 
-/// One application call, as its caller gave it.
-struct Call
-{
-    ServiceName service;
-    std::string customer;
-    std::string method;
-    std::string path;
-    std::string contentType;
-    std::string body;
-    std::string idempotencyKey; ///< Empty when the caller gave none.
-};
-
-/// What a caller gets back.
-struct CallAnswer
-{
-    Outcome outcome = Outcome::Unknown;
-    Reason reason = Reason::AnswerLost;
-    std::uint32_t status = 0; ///< HTTP status of the target where it ran, else of the system.
-    std::string contentType;
-    std::string body;
-};
-
 /// How far an attempt got that brought no whole answer.
 enum class AttemptFailure {
     NotSent, ///< No byte left; the attempt did not run.
@@ -90,10 +70,50 @@
 {
     EngineReportsPointer engines;
 };
+struct ClaimsCommitted
+{
+    OperationId operation{};
+};
+/// The shard's fence was not the commit's.
+struct ClaimsRefused
+{
+    OperationId operation{};
+};
+/// Nobody can tell whether a commit took effect, or a row could not be read.
+struct ClaimsUncertain
+{
+    OperationId operation{};
+};
+struct ClaimRowRead
+{
+    OperationId operation{};
+    std::optional<ClaimRow> row; ///< Nothing when there is no such row.
+};
+struct ClaimsLoaded
+{
+    OperationId operation{};
+    Shard shard;
+    std::vector<ClaimRow> rows;
+};
+struct ClaimsLoadFailed
+{
+    OperationId operation{};
+    Shard shard;
+};
+struct DispatchTick
+{
+    WallTime wallNow{};
+};
+/// The node stops: new calls are refused, running ones finish.
+struct DispatchDraining
+{
+};
 
-using DispatchEvent = std::variant<CallReceived, TargetAnswered, AttemptFailed, PeerAnswered,
-                                   DispatchConfigurationChanged, DispatchViewChanged,
-                                   DispatchLeasesChanged, DispatchEnginesChanged>;
+using DispatchEvent =
+        std::variant<CallReceived, TargetAnswered, AttemptFailed, PeerAnswered,
+                     DispatchConfigurationChanged, DispatchViewChanged, DispatchLeasesChanged,
+                     DispatchEnginesChanged, ClaimsCommitted, ClaimsRefused, ClaimsUncertain,
+                     ClaimRowRead, ClaimsLoaded, ClaimsLoadFailed, DispatchTick, DispatchDraining>;
 
 // Actions
 
@@ -118,17 +138,29 @@
     bool forwarded = false; ///< The asker is another node, not a caller's connection.
 };
 
-using DispatchAction = std::variant<SendToTarget, ForwardCall, AnswerCall>;
+/// The node drains and nothing is under way any more.
+struct DispatchDrained
+{
+};
+
+using DispatchAction = std::variant<SendToTarget, ForwardCall, AnswerCall, CommitClaims,
+                                    ReadClaimRow, LoadClaims, DispatchDrained>;
+
+/// Names the claim that a call runs under.
+struct ClaimedCall
+{
+    Shard shard;
+    std::string identity;
+};
 
 /// One call that waits for an attempt's result.
 struct CallInFlight
 {
-    ReplyToken reply{};
-    Call call;
-    Time deadline{};
-    TargetId target;
-    bool forwarded = false;
-    std::uint32_t attempts = 1;
+    CallAttempt attempt;
+    std::uint32_t tries = 1;
+    std::optional<TargetId> target; ///< Nothing while the holder of the claim's shard has it.
+    std::optional<ClaimedCall> claim; ///< Set where a claim of this node is sent.
+    NodeId holder; ///< That the call was forwarded to, where it has no target.
 };
 
 struct DispatchState
@@ -141,10 +173,14 @@
     std::map<OperationId, CallInFlight> inFlight;
     std::map<TargetId, std::uint32_t> load; ///< Calls of this node at each target.
     OperationId nextOperation{1};
+    ClaimState claims;
+    bool draining = false;
+    bool drained = false;
 };
 
+/// \param writerId unique to this process; names its writes.
 /// \return the state of a node without configuration; it refuses every call as not ready.
-DispatchState makeDispatchState(NodeId self);
+DispatchState makeDispatchState(NodeId self, std::string writerId);
 
 /// Takes one event and returns what has to be done about it.
 /// Complexity: linear in targets and nodes.
--- a/packages/core/include/geraniumpulley/core/outcome.hpp
+++ b/packages/core/include/geraniumpulley/core/outcome.hpp
@@ -30,6 +30,9 @@
     KeyExpired,
     AnswerPending,
     OwnerChanged,
+    KeyReused,
+    AnswerNotKept,
+    CustomerLimit,
 };
 
 /// \return the name that headers, bodies and logs carry, such as "not_run".
--- /dev/null
+++ b/packages/core/src/call.cpp
@@ -0,0 +1,59 @@
+#include <geraniumpulley/core/call.hpp>
+
+namespace geraniumpulley::core {
+
+std::uint32_t statusOf(Reason reason)
+{
+    switch (reason) {
+    case Reason::Served:
+        return 200;
+    case Reason::BadRequest:
+    case Reason::KeyRequired:
+        return 400;
+    case Reason::UnknownService:
+        return 404;
+    case Reason::AnswerPending:
+        return 409;
+    case Reason::KeyExpired:
+    case Reason::AnswerNotKept:
+        return 410;
+    case Reason::KeyReused:
+        return 422;
+    case Reason::QueueFull:
+    case Reason::CustomerLimit:
+        return 429;
+    case Reason::ConnectFailed:
+    case Reason::AnswerLost:
+    case Reason::AnswerMalformed:
+    case Reason::PeerLost:
+        return 502;
+    case Reason::NoTarget:
+    case Reason::NotReady:
+    case Reason::Draining:
+    case Reason::StoreUnavailable:
+    case Reason::OwnerChanged:
+        return 503;
+    case Reason::DeadlinePassed:
+        return 504;
+    }
+    return 500;
+}
+
+CallAnswer answerNotRun(Reason reason)
+{
+    return {Outcome::NotRun, reason, statusOf(reason), {}, {}};
+}
+
+CallAnswer answerUnknown(Reason reason)
+{
+    return {Outcome::Unknown, reason, statusOf(reason), {}, {}};
+}
+
+CallAnswer refuseAttempt(const CallAttempt &attempt, bool repeatable, Reason reason, Time now)
+{
+    const bool isOnly = attempt.call.idempotencyKey.empty() && repeatable;
+    const bool isFirst = attempt.call.firstAttempt && now < attempt.deadline;
+    return isOnly || isFirst ? answerNotRun(reason) : answerUnknown(reason);
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/claim_key.cpp
@@ -0,0 +1,75 @@
+#include <geraniumpulley/core/claim_key.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace geraniumpulley::core {
+namespace {
+
+constexpr std::size_t shortestRandomPart = 8; // characters
+constexpr std::size_t longestRandomPart = 100; // characters
+constexpr std::size_t longestSecondsPart = 11; // digits
+constexpr std::uint64_t secondDigestSeed = 1;
+
+bool isKeyCharacter(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '_'
+           || c == '-';
+}
+
+// A length before each part keeps ("ab", "c") apart from ("a", "bc").
+std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string joined;
+    for (const std::string_view part : parts)
+        joined.append(std::to_string(part.size())).append(":").append(part);
+    return joined;
+}
+
+std::string derivedKey(const std::string &content)
+{
+    const std::uint64_t first = XXH3_64bits(content.data(), content.size());
+    const std::uint64_t second =
+            XXH3_64bits_withSeed(content.data(), content.size(), secondDigestSeed);
+    return "derived " + std::to_string(first) + " " + std::to_string(second);
+}
+
+} // namespace
+
+std::optional<WallTime> keyTime(const std::string &idempotencyKey)
+{
+    const std::size_t dash = idempotencyKey.find('-');
+    if (dash == std::string::npos || dash == 0 || dash > longestSecondsPart)
+        return std::nullopt;
+    const std::string_view random = std::string_view(idempotencyKey).substr(dash + 1);
+    if (random.size() < shortestRandomPart || random.size() > longestRandomPart
+        || !std::all_of(random.begin(), random.end(), isKeyCharacter))
+        return std::nullopt;
+    std::uint64_t seconds = 0;
+    const char *end = idempotencyKey.data() + dash;
+    const auto [parsedEnd, error] = std::from_chars(idempotencyKey.data(), end, seconds);
+    if (error != std::errc{} || parsedEnd != end)
+        return std::nullopt;
+    return WallTime(std::chrono::seconds(seconds));
+}
+
+std::optional<ClaimKey> claimKeyOf(const Call &call)
+{
+    const std::string content = join({call.method, call.path, call.body});
+    ClaimKey key;
+    key.digest = XXH3_64bits(content.data(), content.size());
+    if (call.idempotencyKey.empty()) {
+        key.identity = join({call.customer, call.service.value, derivedKey(content)});
+        return key;
+    }
+    key.madeAt = keyTime(call.idempotencyKey);
+    if (!key.madeAt)
+        return std::nullopt;
+    key.identity = join({call.customer, call.service.value, call.idempotencyKey});
+    return key;
+}
+
+} // namespace geraniumpulley::core
--- a/packages/core/src/dispatch.cpp
+++ b/packages/core/src/dispatch.cpp
@@ -7,19 +7,10 @@
 namespace geraniumpulley::core {
 namespace {
 
-constexpr std::uint32_t maxAttempts = 3;
-
-constexpr std::uint32_t statusNotFound = 404;
-constexpr std::uint32_t statusBadGateway = 502;
-constexpr std::uint32_t statusUnavailable = 503;
-constexpr std::uint32_t statusGatewayTimeout = 504;
+constexpr std::uint32_t maxTries = 3;
 
 using Actions = std::vector<DispatchAction>;
-
-CallAnswer refuse(Reason reason, std::uint32_t status)
-{
-    return CallAnswer{Outcome::NotRun, reason, status, {}, {}};
-}
+using InFlight = std::map<OperationId, CallInFlight>::iterator;
 
 struct Handler
 {
@@ -29,8 +20,9 @@
 
     void operator()(const CallReceived &event)
     {
-        CallInFlight call{event.reply, event.call, event.deadline, {}, event.forwarded};
-        this->place(std::move(call));
+        CallInFlight call;
+        call.attempt = {event.reply, event.call, event.deadline, event.forwarded};
+        this->route(std::move(call));
     }
 
     void operator()(const TargetAnswered &event)
@@ -38,10 +30,15 @@
         const auto position = this->state.inFlight.find(event.operation);
         if (position == this->state.inFlight.end())
             return;
+        const CallInFlight call = this->release(position);
         const CallAnswer answer{Outcome::Ran, Reason::Served, event.status, event.contentType,
                                 event.body};
-        this->answer(position->second, answer);
-        this->release(position);
+        if (!call.claim)
+            return this->answer(call.attempt, answer);
+        ClaimActions claimActions;
+        claimAnswered(this->state.claims, call.claim->shard, call.claim->identity, answer,
+                      this->now, claimActions);
+        this->perform(std::move(claimActions));
     }
 
     void operator()(const AttemptFailed &event)
@@ -49,19 +46,12 @@
         const auto position = this->state.inFlight.find(event.operation);
         if (position == this->state.inFlight.end())
             return;
-        CallInFlight call = position->second;
-        this->release(position);
+        CallInFlight call = this->release(position);
         if (event.failure == AttemptFailure::Lost) {
-            const CallAnswer answer{Outcome::Unknown, Reason::AnswerLost, statusBadGateway, {}, {}};
-            this->answer(call, answer);
-            return;
+            const bool atTarget = call.target.has_value();
+            return this->answerLostCall(call, atTarget ? Reason::AnswerLost : Reason::PeerLost);
         }
-        if (call.attempts == maxAttempts) {
-            this->answer(call, refuse(Reason::ConnectFailed, statusBadGateway));
-            return;
-        }
-        ++call.attempts;
-        this->place(std::move(call));
+        this->tryAgain(std::move(call), Reason::ConnectFailed);
     }
 
     void operator()(const PeerAnswered &event)
@@ -69,8 +59,11 @@
         const auto position = this->state.inFlight.find(event.operation);
         if (position == this->state.inFlight.end())
             return;
-        this->answer(position->second, event.answer);
-        this->release(position);
+        CallInFlight call = this->release(position);
+        const bool holderMoved = !call.target && event.answer.reason == Reason::OwnerChanged;
+        if (holderMoved && this->holderFor(call.attempt.call) != call.holder)
+            return this->tryAgain(std::move(call), Reason::OwnerChanged);
+        this->answer(call.attempt, event.answer);
     }
 
     void operator()(const DispatchConfigurationChanged &event)
@@ -80,22 +73,174 @@
 
     void operator()(const DispatchViewChanged &event) { this->state.view = event.view; }
 
-    void operator()(const DispatchLeasesChanged &event) { this->state.leases = event.leases; }
+    void operator()(const DispatchLeasesChanged &event)
+    {
+        this->state.leases = event.leases;
+        ClaimActions claimActions;
+        takeLeases(this->state.claims, event.leases, this->state.nextOperation, this->now,
+                   claimActions);
+        this->perform(std::move(claimActions));
+    }
 
     void operator()(const DispatchEnginesChanged &event) { this->state.engines = event.engines; }
 
-    void place(CallInFlight call)
+    void operator()(const ClaimsCommitted &event)
+    {
+        ClaimActions claimActions;
+        commitSucceeded(this->state.claims, event.operation, this->state.nextOperation, this->now,
+                        claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    void operator()(const ClaimsRefused &event)
+    {
+        ClaimActions claimActions;
+        commitRefused(this->state.claims, event.operation, this->now, claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    void operator()(const ClaimsUncertain &event)
+    {
+        commitUncertain(this->state.claims, event.operation);
+    }
+
+    void operator()(const ClaimRowRead &event)
+    {
+        ClaimActions claimActions;
+        rowReadBack(this->state.claims, event.operation, event.row ? &*event.row : nullptr,
+                    this->state.nextOperation, this->now, claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    void operator()(const ClaimsLoaded &event)
+    {
+        ClaimActions claimActions;
+        shardLoaded(this->state.claims, event.shard, event.operation, event.rows,
+                    this->state.nextOperation, this->now, claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    void operator()(const ClaimsLoadFailed &event)
+    {
+        shardLoadFailed(this->state.claims, event.shard, event.operation, this->now);
+    }
+
+    void operator()(const DispatchTick &event)
+    {
+        ClaimActions claimActions;
+        tickClaims(this->state.claims, event.wallNow, this->state.nextOperation, this->now,
+                   claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    void operator()(const DispatchDraining &) { this->state.draining = true; }
+
+    void perform(ClaimActions claimActions)
+    {
+        for (ClaimAction &action : claimActions)
+            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
+    }
+
+    void perform(CommitClaims &&order) { this->actions.push_back(std::move(order)); }
+    void perform(ReadClaimRow &&order) { this->actions.push_back(std::move(order)); }
+    void perform(LoadClaims &&order) { this->actions.push_back(std::move(order)); }
+    void perform(AnswerAttempt &&order) { this->answer(order.attempt, order.answer); }
+
+    void perform(RouteAgain &&order)
+    {
+        CallInFlight call;
+        call.attempt = std::move(order.attempt);
+        call.tries = 2; // The first was with the shard's holder of then.
+        this->route(std::move(call));
+    }
+
+    void perform(RunClaimed &&order)
+    {
+        CallInFlight call;
+        call.attempt.call = std::move(order.call);
+        call.attempt.deadline = order.deadline;
+        call.claim = {order.shard, std::move(order.identity)};
+        this->place(std::move(call));
+    }
+
+    // Decides between the claims of calls that may not be repeated and the targets.
+    void route(CallInFlight call)
     {
+        const CallAttempt &attempt = call.attempt;
+        if (this->state.draining && call.tries == 1)
+            return this->refuse(attempt, Reason::Draining);
         if (!this->state.configuration || !this->state.view)
-            return this->answer(call, refuse(Reason::NotReady, statusUnavailable));
-        if (call.deadline <= this->now)
-            return this->answer(call, refuse(Reason::DeadlinePassed, statusGatewayTimeout));
-        const Service *service = findService(*this->state.configuration, call.call.service);
+            return this->refuse(attempt, Reason::NotReady);
+        if (attempt.deadline <= this->now)
+            return this->refuse(attempt, Reason::DeadlinePassed);
+        const Service *service = findService(*this->state.configuration, attempt.call.service);
+        if (service == nullptr)
+            return this->refuse(attempt, Reason::UnknownService);
+        if (isRepeatable(*service, attempt.call.method, attempt.call.path))
+            return this->place(std::move(call));
+        if (attempt.call.idempotencyKey.empty() && service->withoutKey == WithoutKey::Refuse)
+            return this->answer(attempt, answerNotRun(Reason::KeyRequired));
+        const auto key = claimKeyOf(attempt.call);
+        if (!key)
+            return this->answer(attempt, answerNotRun(Reason::BadRequest));
+        this->claim(std::move(call), *key);
+    }
+
+    void claim(CallInFlight call, const ClaimKey &key)
+    {
+        const CallAttempt &attempt = call.attempt;
+        if (const CallAnswer *kept = keptAnswer(this->state.claims, key))
+            return this->answer(attempt, *kept);
+        const Shard shard = claimShardOf(key);
+        const auto holder = this->holderFor(attempt.call);
+        if (!holder)
+            return this->refuse(attempt, Reason::NotReady);
+        if (*holder != this->state.self)
+            return this->forwardToHolder(std::move(call), *holder);
+        // Without a valid lease another node may have taken the shard's claims over.
+        if (!heldFence(*this->state.leases, shard, this->now))
+            return this->refuse(attempt, Reason::StoreUnavailable);
+        ClaimActions claimActions;
+        admit(this->state.claims, key, std::move(call.attempt), this->state.nextOperation,
+              this->now, claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    std::optional<NodeId> holderFor(const Call &call) const
+    {
+        const auto key = claimKeyOf(call);
+        if (!this->state.leases || !key)
+            return std::nullopt;
+        return holderOf(*this->state.leases, claimShardOf(*key));
+    }
+
+    void forwardToHolder(CallInFlight call, const NodeId &holder)
+    {
+        if (call.attempt.forwarded)
+            return this->refuse(call.attempt, Reason::OwnerChanged);
+        const auto &nodes = this->state.view->nodes;
+        const auto node = std::find_if(nodes.begin(), nodes.end(), [&](const Node &candidate) {
+            return candidate.id == holder;
+        });
+        if (node == nodes.end())
+            return this->refuse(call.attempt, Reason::NotReady);
+        call.holder = holder;
+        const OperationId operation = this->takeOperation();
+        this->actions.push_back(
+                ForwardCall{operation, *node, call.attempt.call, call.attempt.deadline});
+        this->state.inFlight.emplace(operation, std::move(call));
+    }
+
+    void place(CallInFlight call)
+    {
+        if (call.attempt.deadline <= this->now)
+            return this->giveUp(call, Reason::DeadlinePassed);
+        const Service *service = findService(*this->state.configuration, call.attempt.call.service);
         if (service == nullptr)
-            return this->answer(call, refuse(Reason::UnknownService, statusNotFound));
+            return this->giveUp(call, Reason::UnknownService);
         const Target *target = this->chooseTarget(*service);
         if (target == nullptr)
-            return this->answer(call, refuse(Reason::NoTarget, statusUnavailable));
+            return this->giveUp(call, Reason::NoTarget);
         this->send(std::move(call), *target);
     }
 
@@ -118,40 +263,106 @@
 
     void send(CallInFlight call, const Target &target)
     {
-        const OperationId operation = this->state.nextOperation;
-        this->state.nextOperation = next(operation);
+        const OperationId operation = this->takeOperation();
         call.target = target.id;
         ++this->state.load[target.id];
+        const CallAttempt &attempt = call.attempt;
         const Node *owner = ownerOf(target, this->state.view->nodes);
-        const bool isLocal = call.forwarded || call.attempts > 1 || owner == nullptr
+        const bool isLocal = call.claim || attempt.forwarded || call.tries > 1 || owner == nullptr
                              || owner->id == this->state.self;
         if (isLocal)
-            this->actions.push_back(SendToTarget{operation, target, call.call, call.deadline});
+            this->actions.push_back(
+                    SendToTarget{operation, target, attempt.call, attempt.deadline});
         else
-            this->actions.push_back(ForwardCall{operation, *owner, call.call, call.deadline});
+            this->actions.push_back(ForwardCall{operation, *owner, attempt.call, attempt.deadline});
         this->state.inFlight.emplace(operation, std::move(call));
     }
 
-    void answer(const CallInFlight &call, const CallAnswer &answer)
+    // Only after an attempt that provably did not run.
+    void tryAgain(CallInFlight call, Reason reason)
+    {
+        if (call.tries == maxTries)
+            return this->giveUp(call, reason);
+        ++call.tries;
+        if (call.target)
+            this->place(std::move(call));
+        else
+            this->route(std::move(call));
+    }
+
+    // No attempt of this call ran. For a claimed call that is known of the request as well, since
+    // nobody else may send it.
+    void giveUp(const CallInFlight &call, Reason reason)
     {
-        this->actions.push_back(AnswerCall{call.reply, answer, call.forwarded});
+        if (!call.claim)
+            return this->refuse(call.attempt, reason);
+        ClaimActions claimActions;
+        claimNotRun(this->state.claims, call.claim->shard, call.claim->identity, reason,
+                    claimActions);
+        this->perform(std::move(claimActions));
     }
 
-    void release(std::map<OperationId, CallInFlight>::iterator position)
+    void answerLostCall(const CallInFlight &call, Reason reason)
     {
-        std::uint32_t &load = this->state.load[position->second.target];
-        assert(load > 0);
-        --load;
+        if (!call.claim)
+            return this->answer(call.attempt, answerUnknown(reason));
+        ClaimActions claimActions;
+        claimLost(this->state.claims, call.claim->shard, call.claim->identity, reason,
+                  claimActions);
+        this->perform(std::move(claimActions));
+    }
+
+    CallAnswer refusal(const CallAttempt &attempt, Reason reason) const
+    {
+        return refuseAttempt(attempt, this->mayBeRepeated(attempt.call), reason, this->now);
+    }
+
+    bool mayBeRepeated(const Call &call) const
+    {
+        if (!this->state.configuration)
+            return false;
+        const Service *service = findService(*this->state.configuration, call.service);
+        return service == nullptr || isRepeatable(*service, call.method, call.path)
+               || (call.idempotencyKey.empty() && service->withoutKey == WithoutKey::Refuse);
+    }
+
+    void refuse(const CallAttempt &attempt, Reason reason)
+    {
+        this->answer(attempt, this->refusal(attempt, reason));
+    }
+
+    void answer(const CallAttempt &attempt, const CallAnswer &answer)
+    {
+        this->actions.push_back(AnswerCall{attempt.reply, answer, attempt.forwarded});
+    }
+
+    OperationId takeOperation()
+    {
+        const OperationId operation = this->state.nextOperation;
+        this->state.nextOperation = next(operation);
+        return operation;
+    }
+
+    CallInFlight release(InFlight position)
+    {
+        CallInFlight call = std::move(position->second);
         this->state.inFlight.erase(position);
+        if (call.target) {
+            std::uint32_t &load = this->state.load[*call.target];
+            assert(load > 0);
+            --load;
+        }
+        return call;
     }
 };
 
 } // namespace
 
-DispatchState makeDispatchState(NodeId self)
+DispatchState makeDispatchState(NodeId self, std::string writerId)
 {
     DispatchState state;
     state.self = std::move(self);
+    state.claims.writerId = std::move(writerId);
     return state;
 }
 
@@ -159,6 +370,10 @@
 {
     Handler handler{state, now, {}};
     std::visit(handler, event);
+    if (state.draining && !state.drained && state.inFlight.empty() && isIdle(state.claims)) {
+        state.drained = true;
+        handler.actions.push_back(DispatchDrained{});
+    }
     return std::move(handler.actions);
 }
 
--- a/packages/core/src/outcome.cpp
+++ b/packages/core/src/outcome.cpp
@@ -52,6 +52,12 @@
         return "answer_pending";
     case Reason::OwnerChanged:
         return "owner_changed";
+    case Reason::KeyReused:
+        return "key_reused";
+    case Reason::AnswerNotKept:
+        return "answer_not_kept";
+    case Reason::CustomerLimit:
+        return "customer_limit";
     }
     return "unknown";
 }
--- a/packages/node/src/caller_routes.cpp
+++ b/packages/node/src/caller_routes.cpp
@@ -61,6 +61,7 @@
     event.call.method = std::move(request.method);
     event.call.customer = net::findHeader(request.headers, "X-Customer");
     event.call.idempotencyKey = net::findHeader(request.headers, "Idempotency-Key");
+    event.call.firstAttempt = net::findHeader(request.headers, "X-Attempt") == "1";
     event.call.contentType = net::findHeader(request.headers, "Content-Type");
     event.call.body = std::move(request.body);
     event.deadline = runtime::now() + timeout;
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -22,6 +22,7 @@
 
 using runtime::field;
 
+constexpr core::Duration dispatchPeriod = std::chrono::milliseconds(10);
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
 
 // "127.0.0.1:0" with the port that the system chose.
@@ -82,7 +83,7 @@
                               withPort(this->settings.peersAddress, this->parts.peers->port()),
                               this->settings.dataCentre,
                               makeIncarnation()};
-        startDispatch(this->parts, self.id);
+        startDispatch(this->parts, self);
         startRollout(this->parts, self.id);
         startControl(this->parts, {self, this->settings.seeds});
         this->subscribeTicks();
@@ -133,6 +134,10 @@
         this->timer.subscribe(this->settings.controlPeriod, [this] {
             static_cast<void>(this->parts.control.inbox().tryPush(core::ControlTick{}));
         });
+        this->timer.subscribe(dispatchPeriod, [this] {
+            static_cast<void>(
+                    this->parts.dispatch.inbox().tryPush(core::DispatchTick{runtime::wallNow()}));
+        });
         this->timer.subscribe(rolloutPeriod, [this] {
             static_cast<void>(this->parts.rollout.inbox().tryPush(core::RolloutTick{}));
         });
--- a/packages/node/src/dispatch_duty.cpp
+++ b/packages/node/src/dispatch_duty.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_duty.hpp"
 
+#include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -13,6 +14,9 @@
 namespace geraniumpulley::node {
 namespace {
 
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusConflict = 409;
+
 core::AttemptFailure toAttemptFailure(net::SendFailure failure)
 {
     return failure == net::SendFailure::NotSent ? core::AttemptFailure::NotSent
@@ -86,14 +90,85 @@
             this->parts.callers->answer(toDoorAnswer(answer.reply, answer.answer));
     }
 
+    void perform(core::CommitClaims &&commit)
+    {
+        this->parts.metrics.count("claim_commits");
+        const std::string body = codec::encodeTransaction(codec::claimTransaction(commit));
+        this->parts.platform->send(
+                {"POST", "/table/transact", body,
+                 [this, operation = commit.operation](net::PlatformReply &&reply) {
+                     this->push(commitResult(operation, reply));
+                 }});
+    }
+
+    static core::DispatchEvent commitResult(core::OperationId operation,
+                                            const net::PlatformReply &reply)
+    {
+        if (reply.answered && reply.status == statusOk)
+            return core::ClaimsCommitted{operation};
+        if (reply.answered && reply.status == statusConflict)
+            return core::ClaimsRefused{operation};
+        return core::ClaimsUncertain{operation};
+    }
+
+    void perform(core::ReadClaimRow &&read)
+    {
+        this->parts.platform->send({"GET",
+                                    "/table/rows?key=" + read.key,
+                                    {},
+                                    [this, operation = read.operation](net::PlatformReply &&reply) {
+                                        this->push(readResult(operation, reply));
+                                    }});
+    }
+
+    static core::DispatchEvent readResult(core::OperationId operation,
+                                          const net::PlatformReply &reply)
+    {
+        if (!reply.answered || reply.status != statusOk)
+            return core::ClaimsUncertain{operation};
+        auto rows = codec::decodeClaimRows(reply.body);
+        if (!rows)
+            return core::ClaimsUncertain{operation};
+        if (rows.value().empty())
+            return core::ClaimRowRead{operation, std::nullopt};
+        return core::ClaimRowRead{operation, std::move(rows.value().front())};
+    }
+
+    void perform(core::LoadClaims &&load)
+    {
+        this->parts.platform->send({"GET",
+                                    "/table/rows?prefix=" + codec::claimPrefix(load.shard),
+                                    {},
+                                    [this, load](net::PlatformReply &&reply) {
+                                        this->push(this->loadResult(load, reply));
+                                    }});
+    }
+
+    core::DispatchEvent loadResult(const core::LoadClaims &load, const net::PlatformReply &reply)
+    {
+        if (!reply.answered || reply.status != statusOk)
+            return core::ClaimsLoadFailed{load.operation, load.shard};
+        auto rows = codec::decodeClaimRows(reply.body);
+        if (!rows) {
+            this->parts.logger.write("claims_malformed",
+                                     runtime::field("shard", core::nameOf(load.shard)));
+            return core::ClaimsLoadFailed{load.operation, load.shard};
+        }
+        return core::ClaimsLoaded{load.operation, load.shard, std::move(rows.value())};
+    }
+
+    void perform(core::DispatchDrained &&) { this->parts.logger.write("calls_drained"); }
+
     void push(core::DispatchEvent event) { this->parts.dispatch.deliver(std::move(event)); }
 };
 
 } // namespace
 
-void startDispatch(Parts &parts, const core::NodeId &self)
+void startDispatch(Parts &parts, const core::Node &self)
 {
-    auto duty = std::make_shared<DispatchDuty>(DispatchDuty{parts, core::makeDispatchState(self)});
+    const std::string writerId = fmt::format("{}-{}", self.id.value, self.incarnation);
+    auto duty = std::make_shared<DispatchDuty>(
+            DispatchDuty{parts, core::makeDispatchState(self.id, writerId)});
     parts.dispatch.start("dispatch", [duty](core::DispatchEvent &&event) { duty->handle(event); });
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -89,13 +89,19 @@
 for node in node-a node-b; do
   for call in 1 2 3; do
     answer=$(fetch -D "$work/headers" -H 'X-Customer: depot-3' \
-      -d "{\"order\": \"$node-$call\"}" "http://$(logged $node callers)/v1/services/orders/book")
+      "http://$(logged $node callers)/v1/services/orders/status/$node-$call")
     echo "$node: $answer"
     grep -qi '^x-outcome: ran' "$work/headers"
     grep -q "$node-$call" <<<"$answer"
   done
 done
 
+echo "== 2b. a booking with a malformed key is refused as not run"
+fetch -D "$work/headers" -H 'X-Customer: depot-3' -H 'Idempotency-Key: no-age' \
+  -d '{"order": "plain"}' "http://$(logged node-a callers)/v1/services/orders/book"
+echo
+grep -qi '^x-reason: bad_request' "$work/headers"
+
 echo "== 3. a trainer opens a step and gets a labelled, scored batch once"
 callers=http://$(logged node-b callers)
 fetch "$callers/v1/steps" -d '{"trainer": "plotter-quotes", "step": 1, "group_size": 4,
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -57,6 +57,10 @@
             row.text = write.at("value").as_string();
             ++row.version;
         }
+        if (transaction.has_field("deletes")) {
+            for (const value &key : transaction.at("deletes").as_array())
+                this->rows.erase(key.as_string());
+        }
         return {200, R"({"committed":true})", {}};
     }
 
