--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -13,7 +13,8 @@
                                      GERANIUMPULLEY_VERSION="${PROJECT_VERSION}")
 
 # geraniumpulley_package(NAME [DEPENDS target...] [LINK library...])
-# One library from src/*.cpp and one test program from tests/unit-*.cpp; `main.cpp` is left out.
+# One library from src/*.cpp and one test program from tests/unit-*.cpp and the fake worlds
+# that they share; `main.cpp` is left out.
 function(geraniumpulley_package name)
   cmake_parse_arguments(PACKAGE "" "" "DEPENDS;LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
@@ -35,7 +36,7 @@
           DESTINATION ${GERANIUMPULLEY_CMAKE_DIR})
   install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
 
-  file(GLOB tests CONFIGURE_DEPENDS tests/unit-*.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS tests/unit-*.cpp tests/*_world.cpp)
   if(BUILD_TESTING AND tests)
     add_executable(test_${name} tests/main.cpp ${tests})
     target_include_directories(test_${name} PRIVATE src)
--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -3,7 +3,6 @@
 #include <geraniumpulley/core/control.hpp>
 #include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/rollout.hpp>
 #include <geraniumpulley/core/view.hpp>
 
 #include <optional>
@@ -57,6 +56,4 @@
 TableTransaction configurationTransaction(const core::CommitConfiguration &commit);
 core::Result<core::ConfigurationDocument> decodeConfigurationRow(const std::string &value);
 
-std::string encodeBatch(const core::StoreBatch &batch);
-
 } // namespace geraniumpulley::codec
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -20,11 +20,15 @@
 using CallAnswerWire = std::tuple<int, int, std::uint32_t, std::string, std::string>;
 using StepRequestWire =
         std::tuple<std::uint64_t, std::string, std::uint64_t, std::vector<std::string>,
-                   std::uint32_t, std::uint32_t, std::uint64_t>;
+                   std::uint32_t, std::uint32_t, std::uint64_t, std::int64_t, std::int64_t,
+                   std::int64_t, std::string>;
 using SpanWire = std::tuple<std::uint64_t, std::string, std::uint64_t, std::uint64_t>;
 using SampleWire = std::tuple<std::string, std::uint64_t, std::uint32_t, std::uint32_t, std::string,
                               double, std::vector<SpanWire>>;
-using StepAnswerWire = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<SampleWire>>;
+using StepAnswerWire = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<SampleWire>,
+                                  std::string, std::string, std::uint64_t, bool>;
+
+constexpr std::int64_t noStalenessBound = -1;
 
 template<typename Wire>
 std::string pack(const Wire &wire)
@@ -111,22 +115,22 @@
 
 std::string encodePeer(const core::StepRequest &request)
 {
-    StepRequestWire wire;
-    std::get<0>(wire) = request.index();
+    const core::StepId &id = core::stepOf(request);
+    StepRequestWire wire{request.index(), id.trainer.value, id.step, {}, 0, 0, 0, 0, 0, 0, {}};
     if (const auto *open = std::get_if<core::OpenStep>(&request)) {
         const core::StepOrder &order = open->order;
-        wire = {request.index(),
-                order.id.trainer.value,
-                order.id.step,
-                order.prompts,
-                order.groupSize,
-                order.maxTokens,
-                core::number(order.trainerVersion)};
+        std::get<3>(wire) = order.prompts;
+        std::get<4>(wire) = order.groupSize;
+        std::get<5>(wire) = order.maxTokens;
+        std::get<6>(wire) = core::number(order.trainerVersion);
+        std::get<7>(wire) = order.due.count();
+        std::get<8>(wire) = order.stalenessBound ? static_cast<std::int64_t>(*order.stalenessBound)
+                                                 : noStalenessBound;
     } else if (const auto *fetch = std::get_if<core::FetchStep>(&request)) {
-        wire = {request.index(), fetch->id.trainer.value, fetch->id.step, {}, 0, 0, 0};
+        std::get<6>(wire) = core::number(fetch->trainerVersion);
+        std::get<9>(wire) = fetch->wait.count();
     } else {
-        const core::StepId &id = std::get<core::AcknowledgeStep>(request).id;
-        wire = {request.index(), id.trainer.value, id.step, {}, 0, 0, 0};
+        std::get<10>(wire) = std::get<core::AcknowledgeStep>(request).digest;
     }
     return pack(wire);
 }
@@ -137,7 +141,8 @@
     for (const auto &[slot, sample] : answer.samples)
         samples.push_back(toWire(slot, sample));
     return pack(StepAnswerWire{static_cast<int>(answer.verdict), answer.finished, answer.total,
-                               std::move(samples)});
+                               std::move(samples), answer.digest, answer.detail, answer.discarded,
+                               answer.durable});
 }
 
 core::Result<core::Announcement> decodeAnnouncement(const std::string &bytes)
@@ -195,16 +200,22 @@
     auto wire = unpack<StepRequestWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[kind, trainer, number, prompts, groupSize, maxTokens, version] = wire.value();
+    const auto &[kind, trainer, number, prompts, groupSize, maxTokens, version, due, bound, wait,
+                 digest] = wire.value();
     const core::StepId id{{trainer}, number};
     switch (kind) {
-    case 0:
-        return core::StepRequest{
-                core::OpenStep{{id, prompts, groupSize, maxTokens, core::WeightVersion{version}}}};
+    case 0: {
+        core::StepOrder order{id, prompts, groupSize, maxTokens, core::WeightVersion{version}};
+        order.due = core::Duration(due);
+        if (bound != noStalenessBound)
+            order.stalenessBound = static_cast<std::uint64_t>(bound);
+        return core::StepRequest{core::OpenStep{std::move(order)}};
+    }
     case 1:
-        return core::StepRequest{core::FetchStep{id}};
+        return core::StepRequest{
+                core::FetchStep{id, core::WeightVersion{version}, core::Duration(wait)}};
     case 2:
-        return core::StepRequest{core::AcknowledgeStep{id}};
+        return core::StepRequest{core::AcknowledgeStep{id, digest}};
     default:
         return make_error_code(Errc::WrongShape);
     }
@@ -215,10 +226,18 @@
     auto wire = unpack<StepAnswerWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[verdict, finished, total, samples] = wire.value();
-    if (verdict < 0 || verdict > static_cast<int>(core::StepVerdict::OwnerLost))
+    const auto &[verdict, finished, total, samples, digest, detail, discarded, durable] =
+            wire.value();
+    if (verdict < 0 || verdict > static_cast<int>(core::StepVerdict::WrongDigest))
         return make_error_code(Errc::WrongShape);
-    core::StepAnswer answer{static_cast<core::StepVerdict>(verdict), finished, total, {}};
+    core::StepAnswer answer{static_cast<core::StepVerdict>(verdict),
+                            finished,
+                            total,
+                            {},
+                            digest,
+                            detail,
+                            discarded,
+                            durable};
     for (const SampleWire &sample : samples)
         answer.samples.push_back(fromWire(sample));
     return answer;
--- a/packages/codec/src/platform_messages.cpp
+++ b/packages/codec/src/platform_messages.cpp
@@ -3,7 +3,6 @@
 #include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 #include <geraniumpulley/codec/error.hpp>
-#include <geraniumpulley/codec/trainer_messages.hpp>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -142,14 +141,4 @@
     return document;
 }
 
-std::string encodeBatch(const core::StoreBatch &batch)
-{
-    core::StepAnswer answer;
-    answer.verdict = core::StepVerdict::Ready;
-    answer.finished = batch.samples.size();
-    answer.total = batch.samples.size();
-    answer.samples = batch.samples;
-    return encodeStepAnswer(answer);
-}
-
 } // namespace geraniumpulley::codec
--- /dev/null
+++ b/packages/codec/src/step_messages.cpp
@@ -0,0 +1,186 @@
+#include <geraniumpulley/codec/step_messages.hpp>
+
+#include <geraniumpulley/codec/detail/json_reader.hpp>
+#include <geraniumpulley/codec/error.hpp>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace geraniumpulley::codec {
+namespace {
+
+using detail::JsonReader;
+using detail::Problems;
+using web::json::value;
+
+constexpr const char *openedKind = "opened";
+constexpr const char *samplesKind = "samples";
+constexpr const char *sealedKind = "sealed";
+constexpr const char *acknowledgedKind = "acknowledged";
+
+std::int64_t toMilliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+struct ContentEncoder
+{
+    value &body;
+
+    void operator()(const core::StepOpened &opened) const
+    {
+        const core::StepOrder &order = opened.order;
+        std::vector<value> prompts;
+        for (const std::string &prompt : order.prompts)
+            prompts.push_back(value::string(prompt));
+        this->body["kind"] = value::string(openedKind);
+        this->body["prompts"] = value::array(std::move(prompts));
+        this->body["group_size"] = value::number(order.groupSize);
+        this->body["max_tokens"] = value::number(order.maxTokens);
+        this->body["trainer_version"] = value::number(core::number(order.trainerVersion));
+        this->body["due_ms"] = value::number(toMilliseconds(order.due));
+        if (order.stalenessBound)
+            this->body["staleness_bound"] = value::number(*order.stalenessBound);
+    }
+
+    void operator()(const core::SamplesFinished &finished) const
+    {
+        this->body["kind"] = value::string(samplesKind);
+        this->body["count"] = value::number(static_cast<std::uint64_t>(finished.samples.size()));
+    }
+
+    void operator()(const core::BatchSealed &sealed) const
+    {
+        this->body["kind"] = value::string(sealedKind);
+        this->body["trainer_version"] = value::number(core::number(sealed.trainerVersion));
+        this->body["digest"] = value::string(sealed.digest);
+    }
+
+    void operator()(const core::BatchAcknowledged &acknowledged) const
+    {
+        this->body["kind"] = value::string(acknowledgedKind);
+        this->body["digest"] = value::string(acknowledged.digest);
+    }
+};
+
+std::string encodeRecord(const core::StepRecord &record)
+{
+    value body = value::object();
+    body["write_id"] = value::string(record.writeId);
+    const auto left = std::max<std::int64_t>(toMilliseconds(record.timeLeft), 0);
+    body["left_ms"] = value::number(left);
+    std::visit(ContentEncoder{body}, record.content);
+    return body.serialize();
+}
+
+std::string encodeIndex(const std::set<std::uint64_t> &openSteps)
+{
+    std::vector<value> steps;
+    for (const std::uint64_t step : openSteps)
+        steps.push_back(value::string(std::to_string(step)));
+    value body = value::object();
+    body["open"] = value::array(std::move(steps));
+    return body.serialize();
+}
+
+core::StepOrder readOrder(JsonReader &reader, const value &json, const core::StepId &id)
+{
+    core::StepOrder order;
+    order.id = id;
+    order.prompts = reader.readStrings("prompts");
+    order.groupSize = static_cast<std::uint32_t>(reader.readNumber("group_size"));
+    order.maxTokens = static_cast<std::uint32_t>(reader.readNumber("max_tokens"));
+    order.trainerVersion = core::WeightVersion{reader.readNumber("trainer_version")};
+    order.due = reader.readMilliseconds("due_ms", {});
+    if (json.has_field("staleness_bound"))
+        order.stalenessBound = reader.readNumber("staleness_bound");
+    return order;
+}
+
+core::StepRecordContent readContent(JsonReader &reader, const value &json, const core::StepId &id)
+{
+    const std::string kind = reader.readString("kind");
+    if (kind == openedKind)
+        return core::StepOpened{readOrder(reader, json, id)};
+    if (kind == samplesKind)
+        return core::SamplesFinished{};
+    if (kind == sealedKind)
+        return core::BatchSealed{core::WeightVersion{reader.readNumber("trainer_version")},
+                                 reader.readString("digest")};
+    if (kind != acknowledgedKind)
+        reader.report("kind", "is unknown", "a kind of record");
+    return core::BatchAcknowledged{reader.readString("digest")};
+}
+
+} // namespace
+
+std::string stepIndexKey(const core::TrainerName &trainer)
+{
+    return "steps/" + trainer.value;
+}
+
+core::Result<std::set<std::uint64_t>> decodeStepIndex(const std::string &text)
+{
+    Problems problems;
+    const value json = detail::parseJson(text, problems);
+    JsonReader reader(json, "", problems);
+    std::set<std::uint64_t> steps;
+    for (const std::string &step : reader.readStrings("open")) {
+        const bool isNumber =
+                !step.empty() && step.find_first_not_of("0123456789") == std::string::npos;
+        if (!isNumber)
+            return make_error_code(Errc::WrongShape);
+        steps.insert(std::strtoull(step.c_str(), nullptr, 10));
+    }
+    if (!problems.empty())
+        return make_error_code(Errc::WrongShape);
+    return steps;
+}
+
+std::string stepRowPrefix(const core::StepId &id)
+{
+    return fmt::format("steps/{}/{}/", id.trainer.value, id.step);
+}
+
+std::string stepRowKey(const core::StepId &id, std::uint64_t number)
+{
+    return fmt::format("{}{:08}", stepRowPrefix(id), number);
+}
+
+std::string samplesPath(const core::StepId &id, const std::string &writeId)
+{
+    return fmt::format("/objects/{}{}", stepRowPrefix(id), writeId);
+}
+
+TableTransaction appendTransaction(const core::AppendRecord &append)
+{
+    TableTransaction transaction;
+    const std::string key = stepRowKey(append.id, append.number);
+    transaction.checks.push_back({key, 0});
+    if (append.fence)
+        transaction.checks.push_back(fenceCheck(append.shard, *append.fence));
+    transaction.writes.push_back({key, encodeRecord(append.record)});
+    if (append.openSteps)
+        transaction.writes.push_back(
+                {stepIndexKey(append.id.trainer), encodeIndex(*append.openSteps)});
+    return transaction;
+}
+
+core::Result<core::StepRecord> decodeStepRecord(const std::string &text, const core::StepId &id)
+{
+    Problems problems;
+    const value json = detail::parseJson(text, problems);
+    if (!json.is_object())
+        return make_error_code(Errc::WrongShape);
+    JsonReader reader(json, "", problems);
+    core::StepRecord record;
+    record.writeId = reader.readString("write_id");
+    record.timeLeft = reader.readMilliseconds("left_ms", {});
+    record.content = readContent(reader, json, id);
+    if (!problems.empty())
+        return make_error_code(Errc::WrongShape);
+    return record;
+}
+
+} // namespace geraniumpulley::codec
--- a/packages/codec/src/target_messages.cpp
+++ b/packages/codec/src/target_messages.cpp
@@ -3,7 +3,6 @@
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 #include <geraniumpulley/codec/error.hpp>
 
-#include <sstream>
 #include <utility>
 
 namespace geraniumpulley::codec {
@@ -13,47 +12,35 @@
 using detail::Problems;
 using web::json::value;
 
-// Joins the chunk to the last span when the same engine process and version made both.
-void appendSpan(std::vector<core::VersionSpan> &spans, core::VersionSpan span)
-{
-    if (!spans.empty() && spans.back().version == span.version
-        && spans.back().incarnation == span.incarnation)
-        spans.back().last = span.last;
-    else
-        spans.push_back(std::move(span));
-}
+constexpr std::size_t maxLineBytes = 1024 * 1024;
 
-struct GenerationReader
+core::Result<void> readLine(GenerationStream &stream, GenerationPart &part, const std::string &line)
 {
-    core::SampleGenerated sample;
-    std::uint64_t tokens = 0;
-    bool ended = false;
-
-    core::Result<void> readLine(const std::string &line)
-    {
-        Problems problems;
-        const value parsed = detail::parseJson(line, problems);
-        if (!problems.empty())
-            return make_error_code(Errc::NotJson);
-        JsonReader reader(parsed, "", problems);
-        if (parsed.is_object() && parsed.has_field("end")) {
-            const std::uint64_t total = reader.readNumber("end");
-            this->ended = problems.empty() && total == this->tokens;
-            return boost::outcome_v2::success();
+    Problems problems;
+    const value parsed = detail::parseJson(line, problems);
+    if (!problems.empty())
+        return make_error_code(Errc::NotJson);
+    JsonReader reader(parsed, "", problems);
+    if (stream.total)
+        return make_error_code(Errc::WrongShape);
+    if (parsed.is_object() && parsed.has_field("end")) {
+        stream.total = reader.readNumber("end");
+    } else {
+        core::VersionSpan span;
+        span.incarnation = reader.readString("incarnation");
+        span.version = core::WeightVersion{reader.readNumber("version")};
+        span.first = stream.tokens;
+        for (const std::string &token : reader.readStrings("tokens")) {
+            part.text += token;
+            ++stream.tokens;
         }
-        const std::string incarnation = reader.readString("incarnation");
-        const core::WeightVersion version{reader.readNumber("version")};
-        const std::vector<std::string> tokensOfLine = reader.readStrings("tokens");
-        if (!problems.empty())
-            return make_error_code(Errc::WrongShape);
-        const std::uint64_t first = this->tokens;
-        this->tokens += tokensOfLine.size();
-        for (const std::string &token : tokensOfLine)
-            this->sample.text += token;
-        appendSpan(this->sample.spans, {version, incarnation, first, this->tokens});
-        return boost::outcome_v2::success();
+        span.last = stream.tokens;
+        core::appendSpan(part.spans, std::move(span));
     }
-};
+    if (!problems.empty())
+        return make_error_code(Errc::WrongShape);
+    return boost::outcome_v2::success();
+}
 
 } // namespace
 
@@ -64,26 +51,44 @@
     body["prompt"] = value::string(order.prompt);
     body["max_tokens"] = value::number(order.maxTokens);
     body["priority"] = value::string("rollout");
+    if (order.resumeTokens > 0) {
+        value resume = value::object();
+        resume["text"] = value::string(order.resumeText);
+        resume["tokens"] = value::number(order.resumeTokens);
+        body["resume"] = std::move(resume);
+    }
     return body.serialize();
 }
 
-core::Result<core::SampleGenerated> decodeGeneration(const std::string &body,
-                                                     const core::SampleSlot &slot)
+std::string encodeCancel(const std::string &requestId)
 {
-    GenerationReader reader;
-    reader.sample.slot = slot;
-    std::istringstream lines(body);
-    std::string line;
-    while (std::getline(lines, line)) {
-        if (reader.ended)
-            return make_error_code(Errc::WrongShape);
-        const core::Result<void> read = reader.readLine(line);
+    value body = value::object();
+    body["request"] = value::string(requestId);
+    return body.serialize();
+}
+
+core::Result<GenerationPart> feed(GenerationStream &stream, const std::string &bytes)
+{
+    GenerationPart part;
+    stream.rest += bytes;
+    std::size_t begin = 0;
+    std::size_t end = 0;
+    while ((end = stream.rest.find('\n', begin)) != std::string::npos) {
+        const core::Result<void> read =
+                readLine(stream, part, stream.rest.substr(begin, end - begin));
         if (!read)
             return read.error();
+        begin = end + 1;
     }
-    if (!reader.ended)
-        return make_error_code(Errc::NotWhole);
-    return std::move(reader.sample);
+    stream.rest.erase(0, begin);
+    if (stream.rest.size() > maxLineBytes)
+        return make_error_code(Errc::WrongShape);
+    return part;
+}
+
+bool isEnded(const GenerationStream &stream)
+{
+    return stream.total.has_value() && stream.rest.empty();
 }
 
 std::string encodeScore(const core::Score &order)
--- a/packages/codec/tests/unit-target_messages.cpp
+++ b/packages/codec/tests/unit-target_messages.cpp
@@ -7,25 +7,42 @@
 using namespace geraniumpulley;
 
 namespace {
-const core::SampleSlot slot{{{"quotes"}, 1}, 0, 0};
 const std::string firstChunk = R"({"version":3,"incarnation":"i1","tokens":["a","b"]})"
                                "\n";
 const std::string secondChunk = R"({"version":4,"incarnation":"i1","tokens":["c"]})"
                                 "\n";
 } // namespace
 
-TEST_CASE("a generation over a weight swap has a span for each version")
+TEST_CASE("a generation over a weight swap has a span for each version, wherever it is cut")
 {
-    const auto decoded = codec::decodeGeneration(firstChunk + secondChunk + "{\"end\":3}\n", slot);
-    REQUIRE(decoded.has_value());
-    CHECK(decoded.value().text == "abc");
-    REQUIRE(decoded.value().spans.size() == 2);
-    CHECK(decoded.value().spans[1] == core::VersionSpan{core::WeightVersion{4}, "i1", 2, 3});
+    const std::string whole = firstChunk + secondChunk + "{\"end\":3}\n";
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+        codec::GenerationStream stream;
+        std::string text;
+        std::vector<core::VersionSpan> spans;
+        for (const std::string &bytes : {whole.substr(0, cut), whole.substr(cut)}) {
+            const auto part = codec::feed(stream, bytes);
+            REQUIRE(part.has_value());
+            text += part.value().text;
+            for (const core::VersionSpan &span : part.value().spans)
+                core::appendSpan(spans, span);
+        }
+        CHECK(text == "abc");
+        REQUIRE(spans.size() == 2);
+        CHECK(spans[1] == core::VersionSpan{core::WeightVersion{4}, "i1", 2, 3});
+        CHECK(codec::isEnded(stream));
+        CHECK(stream.total == 3);
+    }
 }
 
-TEST_CASE("a generation without a matching end mark is not whole")
+TEST_CASE("a generation without an end mark is not ended, and nothing may follow the mark")
 {
-    CHECK(codec::decodeGeneration(firstChunk, slot).error() == codec::Errc::NotWhole);
-    CHECK(codec::decodeGeneration(firstChunk + "{\"end\":3}\n", slot).error()
-          == codec::Errc::NotWhole);
+    codec::GenerationStream stream;
+    REQUIRE(codec::feed(stream, firstChunk).has_value());
+    CHECK_FALSE(codec::isEnded(stream));
+    REQUIRE(codec::feed(stream, "{\"end\":2}").has_value());
+    CHECK_FALSE(codec::isEnded(stream));
+    REQUIRE(codec::feed(stream, "\n").has_value());
+    CHECK(codec::isEnded(stream));
+    CHECK(codec::feed(stream, secondChunk).error() == codec::Errc::WrongShape);
 }
--- a/packages/core/include/geraniumpulley/core/rollout.hpp
+++ b/packages/core/include/geraniumpulley/core/rollout.hpp
@@ -4,6 +4,10 @@
 #include <geraniumpulley/core/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/placement.hpp>
+#include <geraniumpulley/core/sample.hpp>
+#include <geraniumpulley/core/step_record.hpp>
+#include <geraniumpulley/core/step_state.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
@@ -18,90 +22,6 @@
 /// Decisions of the rollout duty: how a trainer's step becomes a whole, labelled, scored batch.
 namespace geraniumpulley::core {
 
-struct StepId
-{
-    TrainerName trainer;
-    std::uint64_t step = 0;
-
-    auto operator<=>(const StepId &) const = default;
-};
-
-/// Tokens [first, last) of a sample that one engine process made with one weight version.
-struct VersionSpan
-{
-    WeightVersion version{};
-    std::string incarnation; ///< Of the engine process.
-    std::uint64_t first = 0;
-    std::uint64_t last = 0;
-
-    auto operator<=>(const VersionSpan &) const = default;
-};
-
-/// The place of one sample in its step.
-struct SampleSlot
-{
-    StepId step;
-    std::uint32_t group = 0;
-    std::uint32_t index = 0;
-
-    auto operator<=>(const SampleSlot &) const = default;
-};
-
-struct Sample
-{
-    std::string text;
-    std::vector<VersionSpan> spans;
-    double reward = 0;
-};
-
-/// What a trainer asks for.
-struct StepOrder
-{
-    StepId id;
-    std::vector<std::string> prompts; ///< One for each group.
-    std::uint32_t groupSize = 1;
-    std::uint32_t maxTokens = 256;
-    WeightVersion trainerVersion{};
-};
-
-enum class StepVerdict {
-    Running,
-    Ready, ///< `samples` holds the whole batch.
-    Acknowledged,
-    Differs, ///< The step was opened before with another order.
-    UnknownStep,
-    UnknownTrainer,
-    NotReady,
-    OwnerLost,
-};
-
-struct StepAnswer
-{
-    StepVerdict verdict = StepVerdict::Running;
-    std::uint64_t finished = 0; ///< Samples generated and scored so far.
-    std::uint64_t total = 0;
-    std::vector<std::pair<SampleSlot, Sample>> samples = {}; ///< In slot order; only when ready.
-};
-
-// Requests of trainers
-
-struct OpenStep
-{
-    StepOrder order;
-};
-struct FetchStep
-{
-    StepId id;
-};
-struct AcknowledgeStep
-{
-    StepId id;
-};
-using StepRequest = std::variant<OpenStep, FetchStep, AcknowledgeStep>;
-
-/// \return the trainer that a request belongs to.
-const TrainerName &trainerOf(const StepRequest &request);
-
 // Events
 
 struct StepRequested
@@ -115,32 +35,67 @@
     OperationId operation{};
     StepAnswer answer;
 };
-struct SampleGenerated
+/// Tokens that an engine has added to a sample.
+struct SampleProgressed
 {
     SampleSlot slot;
+    std::uint32_t attempt = 0;
     std::string text;
-    std::vector<VersionSpan> spans;
+    std::vector<VersionSpan> spans; ///< Counted from the first token of this attempt.
+};
+/// The engine's end mark has come.
+struct SampleGenerated
+{
+    SampleSlot slot;
+    std::uint32_t attempt = 0;
+    std::uint64_t tokens = 0; ///< Of the whole sample, as the engine counts them.
 };
 struct GenerationFailed
 {
     SampleSlot slot;
+    std::uint32_t attempt = 0;
 };
 struct SampleScored
 {
     SampleSlot slot;
+    std::uint32_t attempt = 0;
     double reward = 0;
 };
 struct ScoringFailed
 {
     SampleSlot slot;
+    std::uint32_t attempt = 0;
 };
-struct BatchStored
+/// The trainer's open steps, as the store lists them.
+struct StepsListed
+{
+    TrainerName trainer;
+    bool answered = false; ///< False when the store could not be read.
+    std::vector<std::uint64_t> steps;
+};
+struct StepLoaded
+{
+    StepId id;
+    bool answered = false; ///< False when the log could not be read whole.
+    std::vector<StepRecord> records;
+};
+enum class AppendOutcome {
+    Committed,
+    Refused, ///< The number is taken or the lease is gone.
+    Unknown,
+};
+struct RecordAppended
 {
     StepId id;
+    std::string writeId;
+    AppendOutcome outcome = AppendOutcome::Unknown;
 };
-struct BatchStoreFailed
+struct RecordRead
 {
     StepId id;
+    std::string writeId; ///< Of the record that was asked about.
+    bool answered = false;
+    std::string foundWriteId; ///< Empty when the number is free.
 };
 struct RolloutConfigurationChanged
 {
@@ -162,10 +117,11 @@
 {
 };
 
-using RolloutEvent = std::variant<StepRequested, StepPeerAnswered, SampleGenerated,
-                                  GenerationFailed, SampleScored, ScoringFailed, BatchStored,
-                                  BatchStoreFailed, RolloutConfigurationChanged, RolloutViewChanged,
-                                  RolloutLeasesChanged, RolloutEnginesChanged, RolloutTick>;
+using RolloutEvent =
+        std::variant<StepRequested, StepPeerAnswered, SampleProgressed, SampleGenerated,
+                     GenerationFailed, SampleScored, ScoringFailed, StepsListed, StepLoaded,
+                     RecordAppended, RecordRead, RolloutConfigurationChanged, RolloutViewChanged,
+                     RolloutLeasesChanged, RolloutEnginesChanged, RolloutTick>;
 
 // Actions
 
@@ -175,6 +131,15 @@
     Target target;
     std::string prompt;
     std::uint32_t maxTokens = 0;
+    std::uint32_t attempt = 0;
+    std::string resumeText = {}; ///< What earlier attempts made; the engine goes on from there.
+    std::uint64_t resumeTokens = 0;
+};
+/// Stops a generation whose sample no step needs any more.
+struct CancelGeneration
+{
+    SampleSlot slot;
+    Target target;
 };
 struct Score
 {
@@ -182,11 +147,33 @@
     Target target;
     std::string prompt;
     std::string text;
+    std::uint32_t attempt = 0;
+};
+struct ListSteps
+{
+    TrainerName trainer;
+};
+struct LoadStep
+{
+    StepId id;
+};
+/// Appends a record to a step's log in one transaction: it commits only when the number is free
+/// and, with a fence, the shard's lease is still this node's.
+struct AppendRecord
+{
+    StepId id;
+    std::uint64_t number = 0;
+    StepRecord record;
+    Shard shard;
+    std::optional<FencingNumber> fence;
+    std::optional<std::set<std::uint64_t>> openSteps; ///< The trainer's new list, if it changes.
 };
-struct StoreBatch
+/// Reads back a record after an append whose effect is not known.
+struct ReadRecord
 {
     StepId id;
-    std::vector<std::pair<SampleSlot, Sample>> samples;
+    std::uint64_t number = 0;
+    std::string writeId;
 };
 struct ForwardStep
 {
@@ -201,24 +188,28 @@
     bool forwarded = false; ///< The asker is another node, not a trainer's connection.
 };
 
-using RolloutAction = std::variant<Generate, Score, StoreBatch, ForwardStep, AnswerStep>;
+using RolloutAction = std::variant<Generate, CancelGeneration, Score, ListSteps, LoadStep,
+                                   AppendRecord, ReadRecord, ForwardStep, AnswerStep>;
 
-enum class SlotPhase { Waiting, Generating, Unscored, Scoring, Done };
-
-struct SlotState
+/// A trainer whose steps this node owns.
+struct OwnedTrainer
 {
-    SlotPhase phase = SlotPhase::Waiting;
-    TargetId target;
-    Sample sample;
+    std::optional<FencingNumber> fence; ///< None while no lease table has come.
+    bool listed = false; ///< `openSteps` was read from the store; nothing is appended before.
+    bool listing = false;
+    std::set<std::uint64_t> openSteps;
+    bool lost = false; ///< The store has refused `fence`; nothing is done until another comes.
+    bool indexBusy = false; ///< An append that changes the list is on its way.
 };
 
-enum class StepPhase { Filling, Storing, Sealed, Acknowledged };
-
-struct StepState
+/// A request to an engine or scorer that has not ended.
+struct OpenRequest
 {
-    StepOrder order;
-    StepPhase phase = StepPhase::Filling;
-    std::map<SampleSlot, SlotState> slots;
+    SampleSlot slot;
+    std::uint32_t attempt = 0;
+    bool scores = false;
+
+    auto operator<=>(const OpenRequest &) const = default;
 };
 
 struct RolloutState
@@ -228,17 +219,24 @@
     ViewPointer view;
     LeaseTablePointer leases;
     EngineReportsPointer engines;
+    std::string writer; ///< Unique for each start of a process; begins its write ids.
+    std::uint64_t nextWrite = 1;
+    std::map<TrainerName, OwnedTrainer> owned;
     std::map<StepId, StepState> steps;
-    std::map<TargetId, std::uint32_t> load; ///< Requests of this node at each engine or scorer.
+    std::map<StepId, std::vector<StepRequested>> loading; ///< Requests that wait for a step's log.
+    std::map<OpenRequest, TargetId> openRequests;
+    EngineLoads loads; ///< Requests of this node at each engine and scorer, and its failures.
     std::map<OperationId, ReplyToken> forwarded;
     OperationId nextOperation{1};
 };
 
 /// \return the state of a node without configuration; it answers every trainer as not ready.
-RolloutState makeRolloutState(NodeId self);
+/// \param writer unique for each start of a process.
+RolloutState makeRolloutState(NodeId self, std::string writer = "writer");
 
 /// Takes one event and returns what has to be done about it.
-/// Complexity: linear in the slots of open steps and in targets.
+/// Complexity: linear in open steps, groups and targets for each sample that starts; a change of
+/// ownership or of the trainer's version is linear in the slots of its steps.
 std::vector<RolloutAction> step(RolloutState &state, const RolloutEvent &event, Time now);
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -1,321 +1,280 @@
 #include <geraniumpulley/core/rollout.hpp>
 
+#include "rollout_context.hpp"
+
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 namespace geraniumpulley::core {
 namespace {
 
-using Actions = std::vector<RolloutAction>;
-
-bool sameOrder(const StepOrder &a, const StepOrder &b)
-{
-    return a.prompts == b.prompts && a.groupSize == b.groupSize && a.maxTokens == b.maxTokens;
-}
-
-StepState makeStep(const StepOrder &order)
-{
-    StepState step;
-    step.order = order;
-    const auto groups = static_cast<std::uint32_t>(order.prompts.size());
-    for (std::uint32_t group = 0; group < groups; ++group) {
-        for (std::uint32_t index = 0; index < order.groupSize; ++index)
-            step.slots.emplace(SampleSlot{order.id, group, index}, SlotState{});
-    }
-    return step;
-}
-
-std::vector<std::pair<SampleSlot, Sample>> collectSamples(const StepState &step)
-{
-    std::vector<std::pair<SampleSlot, Sample>> samples;
-    samples.reserve(step.slots.size());
-    for (const auto &[slot, state] : step.slots)
-        samples.emplace_back(slot, state.sample);
-    return samples;
-}
-
-StepAnswer describe(const StepState &step)
-{
-    StepAnswer answer;
-    answer.total = step.slots.size();
-    answer.finished = static_cast<std::uint64_t>(
-            std::count_if(step.slots.begin(), step.slots.end(),
-                          [](const auto &entry) { return entry.second.phase == SlotPhase::Done; }));
-    if (step.phase == StepPhase::Acknowledged)
-        answer.verdict = StepVerdict::Acknowledged;
-    if (step.phase == StepPhase::Sealed) {
-        answer.verdict = StepVerdict::Ready;
-        answer.samples = collectSamples(step);
-    }
-    return answer;
-}
+// A trainer that polls without waiting still waits for a batch's seal or its acknowledgement.
+constexpr Duration leastWaitForStore = std::chrono::seconds(2);
 
-struct Handler
+struct Server
 {
-    RolloutState &state;
-    Time now;
-    Actions actions;
+    RolloutContext &context;
+    const StepRequested &event;
+    StepState &step;
 
-    void operator()(const StepRequested &event)
+    void operator()(const OpenStep &request)
     {
-        if (!this->state.configuration || !this->state.view)
-            return this->answer(event.reply, StepAnswer{StepVerdict::NotReady}, event.forwarded);
-        const TrainerName &trainer = trainerOf(event.request);
-        const Node *owner = ownerOf(trainer.value, this->state.view->nodes);
-        if (!event.forwarded && owner != nullptr && owner->id != this->state.self) {
-            const OperationId operation = this->state.nextOperation;
-            this->state.nextOperation = next(operation);
-            this->state.forwarded.emplace(operation, event.reply);
-            this->actions.push_back(ForwardStep{operation, *owner, event.request});
-            return;
-        }
-        const StepAnswer answer = std::visit(
-                [&](const auto &request) { return this->serve(request); }, event.request);
-        this->answer(event.reply, answer, event.forwarded);
+        const char *field = differingField(this->step.order, request.order);
+        if (field == nullptr)
+            return this->give(describeOpen(this->step));
+        StepAnswer refusal{StepVerdict::Differs};
+        refusal.detail = std::string(field)
+                         + " differs from the first opening; repeat that one or use another step";
+        this->give(std::move(refusal));
     }
 
-    void operator()(const StepPeerAnswered &event)
+    // An opening is answered without the samples.
+    static StepAnswer describeOpen(const StepState &step)
     {
-        const auto position = this->state.forwarded.find(event.operation);
-        if (position == this->state.forwarded.end())
-            return;
-        this->answer(position->second, event.answer, false);
-        this->state.forwarded.erase(position);
+        StepAnswer answer = describe(step);
+        answer.samples.clear();
+        if (answer.verdict == StepVerdict::Ready)
+            answer.verdict = StepVerdict::Running;
+        return answer;
     }
 
-    void operator()(const SampleGenerated &event)
+    void operator()(const FetchStep &request)
     {
-        SlotState *slot = this->finishRequest(event.slot, SlotPhase::Generating);
-        if (slot == nullptr)
-            return;
-        slot->sample.text = event.text;
-        slot->sample.spans = event.spans;
-        slot->phase = SlotPhase::Unscored;
-        this->fill();
+        StepState &step = this->step;
+        step.trainerVersion = std::max(step.trainerVersion, request.trainerVersion);
+        discardStale(step, stalenessBoundOf(this->context, step), this->context.now);
+        Duration wait = request.wait;
+        if (isWhole(step))
+            wait = std::max(wait, leastWaitForStore);
+        step.fetchers.push_back(
+                {this->event.reply, this->event.forwarded, this->context.now + wait});
+        advanceLog(this->context, step);
+        answerWaiters(this->context, step);
+        startRequests(this->context);
     }
 
-    void operator()(const GenerationFailed &event)
+    void operator()(const AcknowledgeStep &request)
     {
-        SlotState *slot = this->finishRequest(event.slot, SlotPhase::Generating);
-        if (slot != nullptr)
-            slot->phase = SlotPhase::Waiting;
+        StepState &step = this->step;
+        const bool isSealed = step.phase >= StepPhase::Sealed;
+        if (!isSealed || request.digest != step.digest) {
+            StepAnswer refusal{isSealed ? StepVerdict::WrongDigest : StepVerdict::NotReady};
+            refusal.detail = isSealed ? "digest must be that of the batch; fetch it again"
+                                      : "fetch the batch before acknowledging it";
+            return this->give(std::move(refusal));
+        }
+        if (step.phase == StepPhase::Sealed)
+            step.phase = StepPhase::Acknowledging;
+        step.acknowledgers.push_back(
+                {this->event.reply, this->event.forwarded, this->context.now + leastWaitForStore});
+        advanceLog(this->context, step);
+        answerWaiters(this->context, step);
     }
 
-    void operator()(const SampleScored &event)
+    void give(StepAnswer content)
     {
-        SlotState *slot = this->finishRequest(event.slot, SlotPhase::Scoring);
-        if (slot == nullptr)
-            return;
-        slot->sample.reward = event.reward;
-        slot->phase = SlotPhase::Done;
-        this->fill();
-        this->seal(event.slot.step);
+        answer(this->context, this->event.reply, this->event.forwarded, std::move(content));
     }
+};
 
-    void operator()(const ScoringFailed &event)
-    {
-        SlotState *slot = this->finishRequest(event.slot, SlotPhase::Scoring);
-        if (slot != nullptr)
-            slot->phase = SlotPhase::Unscored;
-    }
+bool forward(RolloutContext &context, const StepRequested &event)
+{
+    RolloutState &state = context.state;
+    const TrainerName &trainer = trainerOf(event.request);
+    const Node *owner = ownerOfTrainer(context, trainer);
+    if (event.forwarded || owner == nullptr || owner->id == state.self)
+        return false;
+    const OperationId operation = state.nextOperation;
+    state.nextOperation = next(operation);
+    state.forwarded.emplace(operation, event.reply);
+    context.actions.push_back(ForwardStep{operation, *owner, event.request});
+    return true;
+}
 
-    void operator()(const BatchStored &event)
-    {
-        const auto position = this->state.steps.find(event.id);
-        if (position != this->state.steps.end() && position->second.phase == StepPhase::Storing)
-            position->second.phase = StepPhase::Sealed;
-    }
+void onRequested(RolloutContext &context, const StepRequested &event)
+{
+    if (!isReady(context))
+        return answer(context, event.reply, event.forwarded, StepAnswer{StepVerdict::NotReady});
+    const TrainerName &trainer = trainerOf(event.request);
+    if (findTrainer(context, trainer) == nullptr)
+        return answer(context, event.reply, event.forwarded,
+                      StepAnswer{StepVerdict::UnknownTrainer});
+    if (forward(context, event))
+        return;
+    if (!isOwnerOf(context, trainer))
+        return answer(context, event.reply, event.forwarded, StepAnswer{StepVerdict::OwnerLost});
+    const StepId &id = stepOf(event.request);
+    if (context.state.steps.count(id) != 0)
+        return serveRequest(context, event);
+    loadStep(context, id);
+    context.state.loading.at(id).push_back(event);
+}
 
-    void operator()(const BatchStoreFailed &event)
-    {
-        const auto position = this->state.steps.find(event.id);
-        if (position != this->state.steps.end() && position->second.phase == StepPhase::Storing)
-            position->second.phase = StepPhase::Filling;
-    }
+void onPeerAnswered(RolloutContext &context, const StepPeerAnswered &event)
+{
+    const auto entry = context.state.forwarded.extract(event.operation);
+    if (!entry.empty())
+        answer(context, entry.mapped(), false, event.answer);
+}
 
-    void operator()(const RolloutConfigurationChanged &event)
-    {
-        this->state.configuration = event.configuration;
+void onTick(RolloutContext &context)
+{
+    retryLoads(context);
+    // Appends may drop a step, so the identifiers are copied.
+    std::vector<StepId> ids;
+    for (const auto &[id, step] : context.state.steps)
+        ids.push_back(id);
+    for (const StepId &id : ids) {
+        const auto position = context.state.steps.find(id);
+        if (position == context.state.steps.end())
+            continue;
+        advanceLog(context, position->second);
+        answerWaiters(context, position->second);
     }
+    startRequests(context);
+}
 
-    void operator()(const RolloutViewChanged &event) { this->state.view = event.view; }
-
-    void operator()(const RolloutLeasesChanged &event) { this->state.leases = event.leases; }
-
-    void operator()(const RolloutEnginesChanged &event) { this->state.engines = event.engines; }
+struct Handler
+{
+    RolloutContext &context;
+
+    void operator()(const StepRequested &event) { onRequested(this->context, event); }
+    void operator()(const StepPeerAnswered &event) { onPeerAnswered(this->context, event); }
+    void operator()(const SampleProgressed &event) { onProgressed(this->context, event); }
+    void operator()(const SampleGenerated &event) { onGenerated(this->context, event); }
+    void operator()(const GenerationFailed &event) { onGenerationFailed(this->context, event); }
+    void operator()(const SampleScored &event) { onScored(this->context, event); }
+    void operator()(const ScoringFailed &event) { onScoringFailed(this->context, event); }
+    void operator()(const StepsListed &event) { onStepsListed(this->context, event); }
+    void operator()(const StepLoaded &event) { onStepLoaded(this->context, event); }
+    void operator()(const RecordAppended &event) { onRecordAppended(this->context, event); }
+    void operator()(const RecordRead &event) { onRecordRead(this->context, event); }
 
-    // Failed requests and batches are tried again here, which bounds their rate.
-    void operator()(const RolloutTick &)
+    void operator()(const RolloutConfigurationChanged &event)
     {
-        if (!this->state.configuration || !this->state.view)
-            return;
-        this->fill();
-        for (const auto &[id, step] : this->state.steps)
-            this->seal(id);
+        this->context.state.configuration = event.configuration;
+        refreshOwnership(this->context);
     }
 
-    StepAnswer serve(const OpenStep &request)
+    void operator()(const RolloutViewChanged &event)
     {
-        const auto &trainers = this->state.configuration->trainers;
-        const bool known =
-                std::any_of(trainers.begin(), trainers.end(), [&](const Trainer &trainer) {
-                    return trainer.name == request.order.id.trainer;
-                });
-        if (!known)
-            return StepAnswer{StepVerdict::UnknownTrainer};
-        const auto [position, isNew] =
-                this->state.steps.try_emplace(request.order.id, makeStep(request.order));
-        if (!isNew && !sameOrder(position->second.order, request.order))
-            return StepAnswer{StepVerdict::Differs};
-        this->fill();
-        return describe(position->second);
+        this->context.state.view = event.view;
+        refreshOwnership(this->context);
     }
 
-    StepAnswer serve(const FetchStep &request)
+    void operator()(const RolloutLeasesChanged &event)
     {
-        const auto position = this->state.steps.find(request.id);
-        if (position == this->state.steps.end())
-            return StepAnswer{StepVerdict::UnknownStep};
-        return describe(position->second);
+        this->context.state.leases = event.leases;
+        refreshOwnership(this->context);
     }
 
-    StepAnswer serve(const AcknowledgeStep &request)
+    void operator()(const RolloutEnginesChanged &event)
     {
-        const auto position = this->state.steps.find(request.id);
-        if (position == this->state.steps.end())
-            return StepAnswer{StepVerdict::UnknownStep};
-        StepState &step = position->second;
-        if (step.phase == StepPhase::Sealed) {
-            step.phase = StepPhase::Acknowledged;
-            for (auto &[slot, slotState] : step.slots)
-                slotState.sample = Sample{};
-        }
-        return describe(step);
+        this->context.state.engines = event.engines;
+        startRequests(this->context);
     }
 
-    void fill()
-    {
-        for (auto &[id, step] : this->state.steps) {
-            const Trainer *trainer = this->findTrainer(id.trainer);
-            if (trainer == nullptr || step.phase != StepPhase::Filling)
-                continue;
-            for (auto &[slot, slotState] : step.slots)
-                this->advance(step, slot, slotState, *trainer);
-        }
-    }
+    void operator()(const RolloutTick &) { onTick(this->context); }
+};
 
-    void advance(const StepState &step, const SampleSlot &slot, SlotState &slotState,
-                 const Trainer &trainer)
-    {
-        const std::string &prompt = step.order.prompts[slot.group];
-        if (slotState.phase == SlotPhase::Waiting) {
-            const Target *target = this->takeTarget(trainer.model);
-            if (target == nullptr)
-                return;
-            slotState.phase = SlotPhase::Generating;
-            slotState.target = target->id;
-            this->actions.push_back(Generate{slot, *target, prompt, step.order.maxTokens});
-        } else if (slotState.phase == SlotPhase::Unscored) {
-            const Target *target = this->takeTarget(trainer.scorer);
-            if (target == nullptr)
-                return;
-            slotState.phase = SlotPhase::Scoring;
-            slotState.target = target->id;
-            this->actions.push_back(Score{slot, *target, prompt, slotState.sample.text});
-        }
-    }
+} // namespace
 
-    // Counts a request at the least loaded target of the service, if one has room.
-    const Target *takeTarget(const ServiceName &name)
-    {
-        const Service *service = findService(*this->state.configuration, name);
-        if (service == nullptr)
-            return nullptr;
-        const Target *best = nullptr;
-        std::uint32_t bestLoad = service->maxInFlight;
-        for (const Target &target : this->state.view->targets) {
-            if (target.service != name || target.leaving)
-                continue;
-            const std::uint32_t load = this->state.load[target.id];
-            if (load < bestLoad) {
-                best = &target;
-                bestLoad = load;
-            }
-        }
-        if (best != nullptr)
-            ++this->state.load[best->id];
-        return best;
-    }
+bool isReady(const RolloutContext &context)
+{
+    return context.state.configuration && context.state.view;
+}
 
-    SlotState *finishRequest(const SampleSlot &slot, SlotPhase expected)
-    {
-        const auto step = this->state.steps.find(slot.step);
-        if (step == this->state.steps.end())
-            return nullptr;
-        const auto position = step->second.slots.find(slot);
-        if (position == step->second.slots.end() || position->second.phase != expected)
-            return nullptr;
-        std::uint32_t &load = this->state.load[position->second.target];
-        assert(load > 0);
-        --load;
-        return &position->second;
-    }
+const Trainer *findTrainer(const RolloutContext &context, const TrainerName &name)
+{
+    const auto &trainers = context.state.configuration->trainers;
+    const auto found = std::find_if(trainers.begin(), trainers.end(),
+                                    [&](const Trainer &trainer) { return trainer.name == name; });
+    return found == trainers.end() ? nullptr : &*found;
+}
 
-    void seal(const StepId &id)
-    {
-        StepState &step = this->state.steps.at(id);
-        if (step.phase != StepPhase::Filling)
-            return;
-        const bool whole = std::all_of(step.slots.begin(), step.slots.end(), [](const auto &entry) {
-            return entry.second.phase == SlotPhase::Done;
-        });
-        if (!whole)
-            return;
-        step.phase = StepPhase::Storing;
-        this->actions.push_back(StoreBatch{id, collectSamples(step)});
-    }
+std::uint64_t stalenessBoundOf(const RolloutContext &context, const StepState &step)
+{
+    const Trainer *trainer = findTrainer(context, step.order.id.trainer);
+    return step.order.stalenessBound.value_or(trainer == nullptr ? 0 : trainer->stalenessBound);
+}
 
-    const Trainer *findTrainer(const TrainerName &name)
-    {
-        const auto &trainers = this->state.configuration->trainers;
-        const auto found =
-                std::find_if(trainers.begin(), trainers.end(),
-                             [&](const Trainer &trainer) { return trainer.name == name; });
-        return found == trainers.end() ? nullptr : &*found;
-    }
+const Node *ownerOfTrainer(const RolloutContext &context, const TrainerName &trainer)
+{
+    const RolloutState &state = context.state;
+    if (!state.leases)
+        return ownerOf(trainer.value, state.view->nodes);
+    const auto holder = holderOf(*state.leases, shardOf(ShardKind::Steps, trainer.value));
+    const auto found = std::find_if(state.view->nodes.begin(), state.view->nodes.end(),
+                                    [&](const Node &node) { return holder && node.id == *holder; });
+    return found == state.view->nodes.end() ? nullptr : &*found;
+}
 
-    void answer(ReplyToken reply, StepAnswer answer, bool forwarded)
-    {
-        this->actions.push_back(AnswerStep{reply, std::move(answer), forwarded});
-    }
-};
+void answerWaiters(RolloutContext &context, StepState &step)
+{
+    if (step.fetchers.empty() && step.acknowledgers.empty())
+        return;
+    const bool isSealed = step.phase >= StepPhase::Sealed;
+    const StepAnswer content = describe(step);
+    std::erase_if(step.fetchers, [&](const StepWaiter &waiter) {
+        if (!isSealed && waiter.until > context.now)
+            return false;
+        StepAnswer given = content;
+        const std::uint64_t bound = stalenessBoundOf(context, step);
+        const bool tooOld =
+                std::any_of(given.samples.begin(), given.samples.end(), [&](const auto &entry) {
+                    return isStale(entry.second, step.trainerVersion, bound);
+                });
+        // A sealed batch never changes, and one that is too old is not handed over.
+        if (tooOld) {
+            given = StepAnswer{StepVerdict::Stale};
+            given.detail = "the batch is older than the bound at this trainer_version; "
+                           "open another step";
+        }
+        answer(context, waiter.reply, waiter.forwarded, std::move(given));
+        return true;
+    });
+    std::erase_if(step.acknowledgers, [&](const StepWaiter &waiter) {
+        const bool isDone = step.phase == StepPhase::Acknowledged;
+        if (!isDone && waiter.until > context.now)
+            return false;
+        StepAnswer given = isDone ? content : StepAnswer{StepVerdict::NotReady};
+        if (!isDone)
+            given.detail = "the store did not answer; acknowledge again";
+        answer(context, waiter.reply, waiter.forwarded, std::move(given));
+        return true;
+    });
+}
 
-} // namespace
+void serveRequest(RolloutContext &context, const StepRequested &event)
+{
+    StepState &step = context.state.steps.at(stepOf(event.request));
+    std::visit(Server{context, event, step}, event.request);
+    const auto position = context.state.steps.find(stepOf(event.request));
+    if (position != context.state.steps.end())
+        advanceLog(context, position->second);
+    startRequests(context);
+}
 
-const TrainerName &trainerOf(const StepRequest &request)
+void answer(RolloutContext &context, ReplyToken reply, bool forwarded, StepAnswer answer)
 {
-    struct Visitor
-    {
-        const TrainerName &operator()(const OpenStep &open) { return open.order.id.trainer; }
-        const TrainerName &operator()(const FetchStep &fetch) { return fetch.id.trainer; }
-        const TrainerName &operator()(const AcknowledgeStep &ack) { return ack.id.trainer; }
-    };
-    return std::visit(Visitor{}, request);
+    context.actions.push_back(AnswerStep{reply, std::move(answer), forwarded});
 }
 
-RolloutState makeRolloutState(NodeId self)
+RolloutState makeRolloutState(NodeId self, std::string writer)
 {
     RolloutState state;
     state.self = std::move(self);
+    state.writer = std::move(writer);
     return state;
 }
 
 std::vector<RolloutAction> step(RolloutState &state, const RolloutEvent &event, Time now)
 {
-    Handler handler{state, now, {}};
-    std::visit(handler, event);
-    return std::move(handler.actions);
+    RolloutContext context{state, now, {}};
+    // A node that was paused finds out before it acts that its leases have lapsed.
+    refreshOwnership(context);
+    std::visit(Handler{context}, event);
+    return std::move(context.actions);
 }
 
 } // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/rollout_generation.cpp
@@ -0,0 +1,257 @@
+#include "rollout_context.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+// Finished samples that no record holds yet, of all steps; generation stops above, which bounds
+// memory while the store is down.
+constexpr std::size_t maxUncommittedSamples = 32'768;
+
+SlotState *findSlot(RolloutContext &context, const SampleSlot &slot, std::uint32_t attempt,
+                    SlotPhase phase)
+{
+    const auto step = context.state.steps.find(slot.step);
+    if (step == context.state.steps.end())
+        return nullptr;
+    const auto position = step->second.slots.find(slot);
+    if (position == step->second.slots.end() || position->second.phase != phase
+        || position->second.attempt != attempt)
+        return nullptr;
+    return &position->second;
+}
+
+// Counts the end of a request, whether its step still wants it or not.
+void closeRequest(RolloutContext &context, const OpenRequest &request, bool succeeded)
+{
+    const auto entry = context.state.openRequests.extract(request);
+    if (entry.empty())
+        return;
+    EngineLoad &load = context.state.loads[entry.mapped()];
+    --load.inFlight;
+    if (succeeded)
+        load.failures = 0;
+    else
+        noteFailure(load, context.now);
+}
+
+const Target *takeTarget(RolloutContext &context, const PlacementQuery &query)
+{
+    RolloutState &state = context.state;
+    const Target *target = chooseTarget(query, *state.configuration, *state.view,
+                                        state.engines.get(), state.loads, context.now);
+    if (target != nullptr)
+        ++state.loads[target->id].inFlight;
+    return target;
+}
+
+// The highest version that the trainer is known to have: its own word or an engine's report.
+WeightVersion newestVersion(const RolloutContext &context, const StepState &step)
+{
+    WeightVersion newest = step.trainerVersion;
+    if (!context.state.engines || !context.state.view)
+        return newest;
+    const Trainer *trainer = findTrainer(context, step.order.id.trainer);
+    for (const Target &target : context.state.view->targets) {
+        const EngineReport *report = findReport(*context.state.engines, target.id);
+        if (report != nullptr && trainer != nullptr && target.service == trainer->model)
+            newest = std::max(newest, report->version);
+    }
+    return newest;
+}
+
+PlacementQuery queryFor(const RolloutContext &context, const StepState &step,
+                        const SampleSlot &slot, const ServiceName &model)
+{
+    const std::uint64_t newest = number(newestVersion(context, step));
+    const std::uint64_t bound = stalenessBoundOf(context, step);
+    PlacementQuery query{model, {}, WeightVersion{newest > bound ? newest - bound : 0}};
+    const SampleSlot sibling{slot.step, slot.group, slot.index == 0 ? 0 : slot.index - 1};
+    query.preferred = step.slots.at(sibling).target;
+    return query;
+}
+
+bool startSample(RolloutContext &context, StepState &step)
+{
+    const Trainer *trainer = findTrainer(context, step.order.id.trainer);
+    const SampleSlot *next = nextSlot(step);
+    if (trainer == nullptr || next == nullptr)
+        return false;
+    const SampleSlot slot = *next;
+    const Target *target = takeTarget(context, queryFor(context, step, slot, trainer->model));
+    if (target == nullptr)
+        return false;
+    SlotState &state = step.slots.at(slot);
+    ++step.groups[slot.group].started;
+    setPhase(step, slot, SlotPhase::Generating, context.now);
+    ++state.attempt;
+    state.target = target->id;
+    context.state.openRequests.emplace(OpenRequest{slot, state.attempt, false}, target->id);
+    context.actions.push_back(Generate{slot, *target, step.order.prompts[slot.group],
+                                       step.order.maxTokens, state.attempt, state.sample.text,
+                                       state.tokens});
+    return true;
+}
+
+bool startScore(RolloutContext &context, StepState &step)
+{
+    const Trainer *trainer = findTrainer(context, step.order.id.trainer);
+    if (trainer == nullptr || step.unscored.empty())
+        return false;
+    const Target *target = takeTarget(context, {trainer->scorer, {}, {}});
+    if (target == nullptr)
+        return false;
+    const SampleSlot slot = *step.unscored.begin();
+    SlotState &state = step.slots.at(slot);
+    setPhase(step, slot, SlotPhase::Scoring, context.now);
+    context.state.openRequests.emplace(OpenRequest{slot, state.attempt, true}, target->id);
+    context.actions.push_back(
+            Score{slot, *target, step.order.prompts[slot.group], state.sample.text, state.attempt});
+    return true;
+}
+
+StepState *leastServed(RolloutContext &context, const std::set<StepId> &exhausted)
+{
+    StepState *best = nullptr;
+    double bestShare = 0;
+    for (auto &[id, step] : context.state.steps) {
+        const Trainer *trainer = findTrainer(context, id.trainer);
+        if (trainer == nullptr || step.waiting.empty() || step.phase != StepPhase::Filling
+            || exhausted.count(id) != 0)
+            continue;
+        const double share = shareOf(step.inFlight, trainer->weight,
+                                     step.slots.size() - step.finished, step.due - context.now);
+        if (best == nullptr || share < bestShare) {
+            best = &step;
+            bestShare = share;
+        }
+    }
+    return best;
+}
+
+bool hasMemory(const RolloutContext &context)
+{
+    std::size_t uncommitted = 0;
+    for (const auto &[id, step] : context.state.steps)
+        uncommitted += step.uncommitted.size();
+    return uncommitted < maxUncommittedSamples;
+}
+
+void restart(SlotState &state)
+{
+    state.sample = Sample{};
+    state.tokens = 0;
+}
+
+} // namespace
+
+void startRequests(RolloutContext &context)
+{
+    if (!isReady(context))
+        return;
+    std::set<StepId> exhausted;
+    while (hasMemory(context)) {
+        StepState *step = leastServed(context, exhausted);
+        if (step == nullptr)
+            break;
+        if (!startSample(context, *step))
+            exhausted.insert(step->order.id);
+    }
+    for (auto &[id, step] : context.state.steps) {
+        while (startScore(context, step)) { }
+    }
+}
+
+void onProgressed(RolloutContext &context, const SampleProgressed &event)
+{
+    SlotState *state = findSlot(context, event.slot, event.attempt, SlotPhase::Generating);
+    if (state == nullptr)
+        return;
+    state->sample.text += event.text;
+    for (VersionSpan span : event.spans) {
+        const std::uint64_t length = span.last - span.first;
+        span.first = state->tokens;
+        state->tokens += length;
+        span.last = state->tokens;
+        appendSpan(state->sample.spans, std::move(span));
+    }
+}
+
+void onGenerated(RolloutContext &context, const SampleGenerated &event)
+{
+    SlotState *state = findSlot(context, event.slot, event.attempt, SlotPhase::Generating);
+    const bool isWholeSample = state == nullptr || state->tokens == event.tokens;
+    closeRequest(context, {event.slot, event.attempt, false}, isWholeSample);
+    if (state != nullptr) {
+        StepState &step = context.state.steps.at(event.slot.step);
+        // A count that differs means that tokens are missing, so the label would not be true.
+        if (!isWholeSample) {
+            restart(*state);
+        } else {
+            GroupLengths &lengths = step.groups[event.slot.group];
+            ++lengths.finished;
+            lengths.tokens += state->tokens;
+        }
+        setPhase(step, event.slot, isWholeSample ? SlotPhase::Unscored : SlotPhase::Waiting,
+                 context.now);
+    }
+    startRequests(context);
+}
+
+void onGenerationFailed(RolloutContext &context, const GenerationFailed &event)
+{
+    SlotState *state = findSlot(context, event.slot, event.attempt, SlotPhase::Generating);
+    closeRequest(context, {event.slot, event.attempt, false}, state == nullptr);
+    if (state == nullptr)
+        return;
+    StepState &step = context.state.steps.at(event.slot.step);
+    const bool isTooOld =
+            isStale(state->sample, newestVersion(context, step), stalenessBoundOf(context, step));
+    if (isTooOld) {
+        restart(*state);
+        ++step.discarded;
+    }
+    setPhase(step, event.slot, SlotPhase::Waiting, context.now);
+    startRequests(context);
+}
+
+void onScored(RolloutContext &context, const SampleScored &event)
+{
+    closeRequest(context, {event.slot, event.attempt, true}, true);
+    SlotState *state = findSlot(context, event.slot, event.attempt, SlotPhase::Scoring);
+    if (state != nullptr) {
+        StepState &step = context.state.steps.at(event.slot.step);
+        state->sample.reward = event.reward;
+        setPhase(step, event.slot, SlotPhase::Finished, context.now);
+        advanceLog(context, step);
+    }
+    startRequests(context);
+}
+
+void onScoringFailed(RolloutContext &context, const ScoringFailed &event)
+{
+    closeRequest(context, {event.slot, event.attempt, true}, false);
+    if (findSlot(context, event.slot, event.attempt, SlotPhase::Scoring) != nullptr)
+        setPhase(context.state.steps.at(event.slot.step), event.slot, SlotPhase::Unscored,
+                 context.now);
+    startRequests(context);
+}
+
+void cancelRequests(RolloutContext &context, const StepState &step)
+{
+    if (!context.state.view)
+        return;
+    for (const auto &[slot, state] : step.slots) {
+        if (state.phase != SlotPhase::Generating)
+            continue;
+        for (const Target &target : context.state.view->targets) {
+            if (target.id == state.target)
+                context.actions.push_back(CancelGeneration{slot, target});
+        }
+    }
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/rollout_log.cpp
@@ -0,0 +1,145 @@
+#include "rollout_context.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+constexpr Duration appendRetryDelay = std::chrono::milliseconds(500);
+
+bool changesIndex(const StepRecordContent &content)
+{
+    return std::holds_alternative<StepOpened>(content)
+           || std::holds_alternative<BatchAcknowledged>(content);
+}
+
+std::set<std::uint64_t> changedIndex(const OwnedTrainer &owned, const StepId &id,
+                                     const StepRecordContent &content)
+{
+    std::set<std::uint64_t> openSteps = owned.openSteps;
+    if (std::holds_alternative<StepOpened>(content))
+        openSteps.insert(id.step);
+    else
+        openSteps.erase(id.step);
+    return openSteps;
+}
+
+void send(RolloutContext &context, StepState &step, const OwnedTrainer &owned)
+{
+    const StepId &id = step.order.id;
+    PendingRecord &pending = *step.pending;
+    pending.sent = true;
+    AppendRecord append;
+    append.id = id;
+    append.number = step.nextRecord;
+    append.record = pending.record;
+    append.shard = shardOf(ShardKind::Steps, id.trainer.value);
+    append.fence = owned.fence;
+    if (changesIndex(pending.record.content))
+        append.openSteps = changedIndex(owned, id, pending.record.content);
+    context.actions.push_back(std::move(append));
+}
+
+// The record is in the log: the step takes it over and goes on.
+void commit(RolloutContext &context, StepState &step)
+{
+    OwnedTrainer &owned = context.state.owned.at(step.order.id.trainer);
+    const StepRecordContent content = std::move(step.pending->record.content);
+    step.pending.reset();
+    ++step.nextRecord;
+    if (changesIndex(content)) {
+        owned.openSteps = changedIndex(owned, step.order.id, content);
+        owned.indexBusy = false;
+    }
+    applyRecord(step, content, context.now);
+    answerWaiters(context, step);
+    advanceLog(context, step);
+    startRequests(context);
+}
+
+StepState *findPending(RolloutContext &context, const StepId &id, const std::string &writeId)
+{
+    const auto position = context.state.steps.find(id);
+    if (position == context.state.steps.end() || !position->second.pending
+        || position->second.pending->record.writeId != writeId)
+        return nullptr;
+    return &position->second;
+}
+
+// Another owner has written; its log is the truth.
+void reload(RolloutContext &context, const StepId &id)
+{
+    const StepState &step = context.state.steps.at(id);
+    if (step.pending && changesIndex(step.pending->record.content))
+        context.state.owned.at(id.trainer).indexBusy = false;
+    dropStep(context, id);
+    loadStep(context, id);
+}
+
+} // namespace
+
+void advanceLog(RolloutContext &context, StepState &step)
+{
+    const auto position = context.state.owned.find(step.order.id.trainer);
+    if (position == context.state.owned.end() || !position->second.listed || !step.loaded)
+        return;
+    OwnedTrainer &owned = position->second;
+    if (step.pending) {
+        PendingRecord &pending = *step.pending;
+        if (pending.sent || pending.retryAt > context.now)
+            return;
+        pending.sent = true;
+        context.actions.push_back(
+                ReadRecord{step.order.id, step.nextRecord, pending.record.writeId});
+        return;
+    }
+    auto content = nextRecordOf(step, !step.fetchers.empty(), context.now);
+    if (!content || (changesIndex(*content) && owned.indexBusy))
+        return;
+    if (std::holds_alternative<BatchSealed>(*content))
+        step.phase = StepPhase::Sealing;
+    owned.indexBusy = owned.indexBusy || changesIndex(*content);
+    const std::string writeId =
+            context.state.writer + "-" + std::to_string(context.state.nextWrite++);
+    step.pending = PendingRecord{{writeId, step.due - context.now, std::move(*content)}};
+    send(context, step, owned);
+}
+
+void onRecordAppended(RolloutContext &context, const RecordAppended &event)
+{
+    StepState *step = findPending(context, event.id, event.writeId);
+    if (step == nullptr)
+        return;
+    if (event.outcome == AppendOutcome::Committed)
+        return commit(context, *step);
+    // A refusal may answer a repetition of an append that has taken effect, so it is read back too.
+    step->pending->sent = false;
+    step->pending->retryAt =
+            event.outcome == AppendOutcome::Refused ? context.now : context.now + appendRetryDelay;
+    step->pending->refused = event.outcome == AppendOutcome::Refused;
+    advanceLog(context, *step);
+}
+
+void onRecordRead(RolloutContext &context, const RecordRead &event)
+{
+    StepState *step = findPending(context, event.id, event.writeId);
+    if (step == nullptr)
+        return;
+    PendingRecord &pending = *step->pending;
+    pending.sent = false;
+    if (!event.answered) {
+        pending.retryAt = context.now + appendRetryDelay;
+    } else if (event.foundWriteId == event.writeId) {
+        commit(context, *step);
+    } else if (!event.foundWriteId.empty()) {
+        reload(context, event.id);
+    } else if (pending.refused) {
+        // Refused although the number is free: the lease is gone.
+        loseLease(context, event.id.trainer);
+    } else {
+        send(context, *step, context.state.owned.at(event.id.trainer));
+    }
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/rollout_ownership.cpp
@@ -0,0 +1,198 @@
+#include "rollout_context.hpp"
+
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+constexpr Duration loadRetryDelay = std::chrono::seconds(1);
+
+// Until a first lease table has come, rendezvous hashing decides alone and appends carry no fence.
+// A lease that has lapsed without another holder is still this node's: all that the node does under
+// it is conditional on its fence in the store, and while the store is down nobody else can take it.
+struct Ownership
+{
+    bool isOwner = false;
+    std::optional<FencingNumber> fence;
+};
+
+Ownership ownershipOf(const RolloutContext &context, const TrainerName &trainer)
+{
+    const RolloutState &state = context.state;
+    if (state.leases) {
+        const Shard shard = shardOf(ShardKind::Steps, trainer.value);
+        const auto position = state.leases->leases.find(shard);
+        if (position == state.leases->leases.end() || position->second.holder != state.self)
+            return {};
+        return {true, position->second.fence};
+    }
+    const Node *owner = ownerOf(trainer.value, state.view->nodes);
+    return {owner != nullptr && owner->id == state.self, std::nullopt};
+}
+
+void dropTrainer(RolloutContext &context, const TrainerName &trainer)
+{
+    std::vector<StepId> dropped;
+    for (const auto &[id, step] : context.state.steps) {
+        if (id.trainer == trainer)
+            dropped.push_back(id);
+    }
+    for (const StepId &id : dropped)
+        dropStep(context, id);
+    context.state.owned.erase(trainer);
+}
+
+void listSteps(RolloutContext &context, const TrainerName &trainer, OwnedTrainer &owned)
+{
+    owned.listing = true;
+    context.actions.push_back(ListSteps{trainer});
+}
+
+void finishLoading(RolloutContext &context, const StepLoaded &event)
+{
+    const auto entry = context.state.loading.extract(event.id);
+    if (entry.empty())
+        return;
+    for (const StepRequested &request : entry.mapped()) {
+        const bool opens = std::holds_alternative<OpenStep>(request.request);
+        if (context.state.steps.count(event.id) != 0) {
+            serveRequest(context, request);
+        } else if (!isOwnerOf(context, event.id.trainer)) {
+            answer(context, request.reply, request.forwarded, StepAnswer{StepVerdict::OwnerLost});
+        } else if (!opens) {
+            const auto verdict = event.answered ? StepVerdict::UnknownStep : StepVerdict::NotReady;
+            answer(context, request.reply, request.forwarded, StepAnswer{verdict});
+        } else {
+            StepState step = makeStep(std::get<OpenStep>(request.request).order, context.now);
+            step.loaded = event.answered;
+            step.reloadAt = context.now + loadRetryDelay;
+            context.state.steps.emplace(event.id, std::move(step));
+            serveRequest(context, request);
+        }
+    }
+}
+
+} // namespace
+
+void refreshOwnership(RolloutContext &context)
+{
+    if (!isReady(context))
+        return;
+    for (const Trainer &trainer : context.state.configuration->trainers) {
+        const Ownership ownership = ownershipOf(context, trainer.name);
+        const auto position = context.state.owned.find(trainer.name);
+        const bool wasOwner = position != context.state.owned.end();
+        const bool isSame = wasOwner && position->second.fence == ownership.fence;
+        if (wasOwner && (!ownership.isOwner || !isSame))
+            dropTrainer(context, trainer.name);
+        if (!ownership.isOwner || isSame)
+            continue;
+        OwnedTrainer &owned = context.state.owned[trainer.name];
+        owned.fence = ownership.fence;
+        listSteps(context, trainer.name, owned);
+    }
+}
+
+bool isOwnerOf(const RolloutContext &context, const TrainerName &trainer)
+{
+    const auto position = context.state.owned.find(trainer);
+    return position != context.state.owned.end() && !position->second.lost;
+}
+
+void loadStep(RolloutContext &context, const StepId &id)
+{
+    const bool isNew = context.state.loading.try_emplace(id).second;
+    if (isNew)
+        context.actions.push_back(LoadStep{id});
+}
+
+void dropStep(RolloutContext &context, const StepId &id)
+{
+    const auto entry = context.state.steps.extract(id);
+    if (entry.empty())
+        return;
+    const StepState &step = entry.mapped();
+    cancelRequests(context, step);
+    for (const auto *waiters : {&step.fetchers, &step.acknowledgers}) {
+        for (const StepWaiter &waiter : *waiters)
+            answer(context, waiter.reply, waiter.forwarded, StepAnswer{StepVerdict::OwnerLost});
+    }
+}
+
+void loseLease(RolloutContext &context, const TrainerName &trainer)
+{
+    const auto fence = context.state.owned.at(trainer).fence;
+    dropTrainer(context, trainer);
+    OwnedTrainer &owned = context.state.owned[trainer];
+    owned.fence = fence;
+    owned.lost = true;
+}
+
+void onStepsListed(RolloutContext &context, const StepsListed &event)
+{
+    const auto position = context.state.owned.find(event.trainer);
+    if (position == context.state.owned.end())
+        return;
+    OwnedTrainer &owned = position->second;
+    owned.listing = false;
+    if (!event.answered || owned.listed || owned.lost)
+        return;
+    owned.listed = true;
+    owned.openSteps.insert(event.steps.begin(), event.steps.end());
+    for (const std::uint64_t number : event.steps) {
+        const StepId id{event.trainer, number};
+        if (context.state.steps.count(id) == 0)
+            loadStep(context, id);
+    }
+}
+
+void onStepLoaded(RolloutContext &context, const StepLoaded &event)
+{
+    const bool isOwned = isOwnerOf(context, event.id.trainer);
+    const auto position = context.state.steps.find(event.id);
+    if (isOwned && event.answered && position == context.state.steps.end()) {
+        if (auto step = replay(event.records, context.now))
+            context.state.steps.emplace(event.id, std::move(*step));
+    } else if (isOwned && position != context.state.steps.end() && !position->second.loaded) {
+        StepState &step = position->second;
+        step.reloadAt = context.now + loadRetryDelay;
+        const auto *opened = event.records.empty()
+                                     ? nullptr
+                                     : std::get_if<StepOpened>(&event.records.front().content);
+        // The store knows this step with another order: that one was opened first and stays.
+        if (opened != nullptr && differingField(opened->order, step.order) != nullptr) {
+            dropStep(context, event.id);
+            context.state.steps.emplace(event.id, *replay(event.records, context.now));
+        } else if (event.answered) {
+            merge(step, event.records, context.now);
+        }
+    }
+    finishLoading(context, event);
+    const auto loaded = context.state.steps.find(event.id);
+    if (loaded != context.state.steps.end())
+        advanceLog(context, loaded->second);
+    startRequests(context);
+}
+
+void retryLoads(RolloutContext &context)
+{
+    for (auto &[trainer, owned] : context.state.owned) {
+        if (owned.lost)
+            continue;
+        if (!owned.listed && !owned.listing)
+            listSteps(context, trainer, owned);
+        if (!owned.listed)
+            continue;
+        for (const std::uint64_t number : owned.openSteps) {
+            const StepId id{trainer, number};
+            if (context.state.steps.count(id) == 0)
+                loadStep(context, id);
+        }
+    }
+    for (auto &[id, step] : context.state.steps) {
+        if (!step.loaded && step.reloadAt <= context.now)
+            loadStep(context, id);
+    }
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/step_state.cpp
@@ -0,0 +1,239 @@
+#include <geraniumpulley/core/step_state.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace geraniumpulley::core {
+namespace {
+
+SamplesFinished collectUncommitted(const StepState &step)
+{
+    SamplesFinished record;
+    for (const SampleSlot &slot : step.uncommitted) {
+        if (record.samples.size() == maxSamplesOfRecord)
+            break;
+        record.samples.emplace_back(slot, step.slots.at(slot).sample);
+    }
+    return record;
+}
+
+// Groups without a finished sample count as average, those without a started one as longest.
+double expectedLength(const StepState &step, std::uint32_t group, double mean)
+{
+    const auto position = step.groups.find(group);
+    if (position == step.groups.end() || position->second.started == 0)
+        return std::numeric_limits<double>::max();
+    const GroupLengths &lengths = position->second;
+    return (static_cast<double>(lengths.tokens) + mean) / (lengths.finished + 1);
+}
+
+struct Applier
+{
+    StepState &step;
+    Time now;
+
+    void operator()(const StepOpened &) { }
+
+    void operator()(const SamplesFinished &record)
+    {
+        for (const auto &[slot, sample] : record.samples) {
+            const auto position = this->step.slots.find(slot);
+            if (position == this->step.slots.end())
+                continue;
+            SlotState &state = position->second;
+            // A sample that was discarded meanwhile, and perhaps made again, is not this one.
+            const bool isOwn = state.phase == SlotPhase::Finished && state.sample == sample;
+            const bool isLoaded = !this->step.loaded;
+            if (!isOwn && !isLoaded)
+                continue;
+            state.sample = sample;
+            setPhase(this->step, slot, SlotPhase::Finished, this->now);
+            state.committed = true;
+            this->step.uncommitted.erase(slot);
+        }
+        this->step.oldestUncommitted = this->now;
+    }
+
+    void operator()(const BatchSealed &record)
+    {
+        this->step.phase = StepPhase::Sealed;
+        this->step.digest = record.digest;
+        this->step.trainerVersion = std::max(this->step.trainerVersion, record.trainerVersion);
+    }
+
+    void operator()(const BatchAcknowledged &)
+    {
+        this->step.phase = StepPhase::Acknowledged;
+        for (auto &[slot, state] : this->step.slots)
+            state.sample = Sample{};
+    }
+};
+
+} // namespace
+
+StepState makeStep(const StepOrder &order, Time now)
+{
+    StepState step;
+    step.order = order;
+    step.due = now + order.due;
+    step.trainerVersion = order.trainerVersion;
+    const auto groups = static_cast<std::uint32_t>(order.prompts.size());
+    for (std::uint32_t group = 0; group < groups; ++group) {
+        for (std::uint32_t index = 0; index < order.groupSize; ++index) {
+            const SampleSlot slot{order.id, group, index};
+            step.slots.emplace_hint(step.slots.end(), slot, SlotState{});
+            step.waiting.emplace_hint(step.waiting.end(), slot);
+        }
+    }
+    return step;
+}
+
+std::optional<StepState> replay(const std::vector<StepRecord> &records, Time now)
+{
+    const auto *opened =
+            records.empty() ? nullptr : std::get_if<StepOpened>(&records.front().content);
+    if (opened == nullptr)
+        return std::nullopt;
+    StepState step = makeStep(opened->order, now);
+    merge(step, records, now);
+    return step;
+}
+
+void merge(StepState &step, const std::vector<StepRecord> &records, Time now)
+{
+    for (const StepRecord &record : records)
+        applyRecord(step, record.content, now);
+    step.nextRecord = records.size();
+    if (!records.empty())
+        step.due = now + records.back().timeLeft;
+    step.loaded = true;
+}
+
+void setPhase(StepState &step, const SampleSlot &slot, SlotPhase phase, Time now)
+{
+    SlotState &state = step.slots.at(slot);
+    step.waiting.erase(slot);
+    step.interrupted.erase(slot);
+    step.unscored.erase(slot);
+    if (state.phase == SlotPhase::Generating)
+        --step.inFlight;
+    if (state.phase == SlotPhase::Finished)
+        --step.finished;
+    state.phase = phase;
+    if (phase == SlotPhase::Waiting)
+        step.waiting.insert(slot);
+    if (phase == SlotPhase::Waiting && state.tokens > 0)
+        step.interrupted.insert(slot);
+    if (phase == SlotPhase::Unscored)
+        step.unscored.insert(slot);
+    if (phase == SlotPhase::Generating)
+        ++step.inFlight;
+    if (phase != SlotPhase::Finished) {
+        state.committed = false;
+        step.uncommitted.erase(slot);
+        return;
+    }
+    ++step.finished;
+    if (step.uncommitted.empty())
+        step.oldestUncommitted = now;
+    step.uncommitted.insert(slot);
+}
+
+const SampleSlot *nextSlot(const StepState &step)
+{
+    if (!step.interrupted.empty())
+        return &*step.interrupted.begin();
+    std::uint64_t tokens = 0;
+    std::uint64_t finished = 0;
+    for (const auto &[group, lengths] : step.groups) {
+        tokens += lengths.tokens;
+        finished += lengths.finished;
+    }
+    const double mean = finished == 0 ? 0 : static_cast<double>(tokens) / finished;
+    const SampleSlot *best = nullptr;
+    double bestLength = -1;
+    auto position = step.waiting.begin();
+    while (position != step.waiting.end()) {
+        const double length = expectedLength(step, position->group, mean);
+        if (length > bestLength) {
+            best = &*position;
+            bestLength = length;
+        }
+        position = step.waiting.lower_bound({position->step, position->group + 1, 0});
+    }
+    return best;
+}
+
+std::uint64_t discardStale(StepState &step, std::uint64_t bound, Time now)
+{
+    if (step.phase != StepPhase::Filling)
+        return 0;
+    std::uint64_t count = 0;
+    for (auto &[slot, state] : step.slots) {
+        if (!isStale(state.sample, step.trainerVersion, bound))
+            continue;
+        state.sample = Sample{};
+        state.tokens = 0;
+        ++state.attempt; // Late events of the stream that made it are ignored.
+        setPhase(step, slot, SlotPhase::Waiting, now);
+        ++count;
+    }
+    step.discarded += count;
+    return count;
+}
+
+bool isWhole(const StepState &step)
+{
+    return step.finished == step.slots.size() && step.uncommitted.empty();
+}
+
+std::optional<StepRecordContent> nextRecordOf(const StepState &step, bool wanted, Time now)
+{
+    if (step.nextRecord == 0)
+        return StepOpened{step.order};
+    if (step.phase == StepPhase::Acknowledging)
+        return BatchAcknowledged{step.digest};
+    if (step.phase != StepPhase::Filling)
+        return std::nullopt;
+    const bool allFinished = step.finished == step.slots.size();
+    const bool commits = step.uncommitted.size() >= groupCommitSamples || allFinished
+                         || now - step.oldestUncommitted >= groupCommitDelay;
+    if (!step.uncommitted.empty() && commits)
+        return collectUncommitted(step);
+    if (isWhole(step) && wanted)
+        return BatchSealed{step.trainerVersion, digestOf(collectSamples(step))};
+    return std::nullopt;
+}
+
+void applyRecord(StepState &step, const StepRecordContent &content, Time now)
+{
+    std::visit(Applier{step, now}, content);
+}
+
+std::vector<std::pair<SampleSlot, Sample>> collectSamples(const StepState &step)
+{
+    std::vector<std::pair<SampleSlot, Sample>> samples;
+    samples.reserve(step.slots.size());
+    for (const auto &[slot, state] : step.slots)
+        samples.emplace_back(slot, state.sample);
+    return samples;
+}
+
+StepAnswer describe(const StepState &step)
+{
+    StepAnswer answer;
+    answer.total = step.slots.size();
+    answer.finished = step.finished;
+    answer.discarded = step.discarded;
+    answer.durable = step.nextRecord > 0;
+    answer.digest = step.digest;
+    if (step.phase == StepPhase::Acknowledged)
+        answer.verdict = StepVerdict::Acknowledged;
+    if (step.phase == StepPhase::Sealed || step.phase == StepPhase::Acknowledging) {
+        answer.verdict = StepVerdict::Ready;
+        answer.samples = collectSamples(step);
+    }
+    return answer;
+}
+
+} // namespace geraniumpulley::core
--- a/packages/node/src/caller_routes.cpp
+++ b/packages/node/src/caller_routes.cpp
@@ -4,6 +4,7 @@
 #include <geraniumpulley/codec/trainer_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -17,6 +18,7 @@
 constexpr std::string_view stepsPath = "/v1/steps";
 constexpr core::Duration defaultTimeout = std::chrono::seconds(5);
 constexpr std::uint64_t maxTimeoutMilliseconds = 3'600'000;
+constexpr std::uint64_t maxWaitMilliseconds = 60'000;
 constexpr std::uint32_t statusBadRequest = 400;
 constexpr std::uint32_t statusNotFound = 404;
 
@@ -82,12 +84,47 @@
         return std::nullopt;
     const core::StepId id{{std::string(path.substr(1, slash - 1))}, *number};
     if (acknowledges && method == "POST")
-        return core::AcknowledgeStep{id};
+        return core::AcknowledgeStep{id, {}};
     if (!acknowledges && method == "GET")
-        return core::FetchStep{id};
+        return core::FetchStep{id, {}, {}};
     return std::nullopt;
 }
 
+// Reads "trainer_version=7&wait_ms=1000"; \return what is wrong, or "".
+std::string readQuery(std::string_view query, core::FetchStep &fetch)
+{
+    while (!query.empty()) {
+        const std::string_view field = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), field.size() + 1));
+        const std::size_t equals = std::min(field.find('='), field.size());
+        const std::string_view name = field.substr(0, equals);
+        const auto number = parseNumber(field.substr(std::min(equals + 1, field.size())));
+        if (name == "trainer_version" && number)
+            fetch.trainerVersion = core::WeightVersion{*number};
+        else if (name == "wait_ms" && number && *number <= maxWaitMilliseconds)
+            fetch.wait = std::chrono::milliseconds(*number);
+        else
+            return "query: trainer_version=N and wait_ms=0 to 60000";
+    }
+    return {};
+}
+
+// Fills in what the path does not tell; \return what is wrong, or "".
+std::string completeStepRequest(core::StepRequest &stepRequest, const net::DoorRequest &request)
+{
+    const std::size_t question = request.target.find('?');
+    const std::string_view query = question == std::string::npos
+                                           ? std::string_view()
+                                           : std::string_view(request.target).substr(question + 1);
+    if (auto *fetch = std::get_if<core::FetchStep>(&stepRequest))
+        return readQuery(query, *fetch);
+    auto digest = codec::decodeAcknowledgement(request.body);
+    if (!digest)
+        return "body: an object with the digest of the batch";
+    std::get<core::AcknowledgeStep>(stepRequest).digest = std::move(digest.value());
+    return {};
+}
+
 bool routeStep(Parts &parts, net::DoorRequest &&request)
 {
     core::StepRequested event;
@@ -101,11 +138,15 @@
         }
         event.request = core::OpenStep{std::move(parsed.order)};
     } else {
-        auto parsed = parseStepPath(request.method, request.target);
+        const std::string_view path = request.target;
+        auto parsed = parseStepPath(request.method, path.substr(0, path.find('?')));
         if (!parsed)
             return refuse(parts, request.token, statusNotFound,
                           "use POST /v1/steps, GET /v1/steps/TRAINER/STEP or POST "
                           "/v1/steps/TRAINER/STEP/ack");
+        const std::string problem = completeStepRequest(*parsed, request);
+        if (!problem.empty())
+            return refuse(parts, request.token, statusBadRequest, problem);
         event.request = std::move(*parsed);
     }
     return parts.rollout.inbox().tryPush(std::move(event));
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -103,13 +103,14 @@
   "trainer_version": 1}'
 echo
 step=$callers/v1/steps/plotter-quotes/1
-batch_is_ready() { fetch "$step" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
+batch_is_ready() { fetch "$step?trainer_version=1&wait_ms=5000" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
 wait_for "the batch" batch_is_ready
 head -c 400 "$work/batch"
 echo " ..."
 [ "$(grep -o '"reward"' "$work/batch" | wc -l)" = 12 ]
 [ "$(grep -o '"incarnation"' "$work/batch" | wc -l)" -ge 12 ]
-fetch -X POST "$step/ack"
+digest=$(sed 's/.*"digest":"\([^"]*\)".*/\1/' "$work/batch")
+fetch "$step/ack" -d "{\"digest\": \"$digest\"}"
 echo
 fetch "$step" | grep -q '"state":"acknowledged"'
 echo "== all three steps came through"
