Bring engines to desired weights from what they report

Cause: nobody polled the engines' load, told dispatch and rollout about it, or took a trainer's new weights to the engines.

Ruled out: one coordinator for all engines (a single place that must hear 5,100 of them); chains of engines that pass a turn on (a turn is lost with its holder, and a changed list of VMs reorders them); a share kept by each target's own owner (10 engines on 10 nodes round down to no swap at all).

Change: a duty `engines`. It compares desired with reported versions and drains and orders those behind, within the share of the group, the loads of the weight store, and copies from loaded engines. `POST /v1/weights` writes the desired row on condition of its version. Reports go to dispatch and rollout, and to other nodes on request, a bounded number to each. The engine stand-in takes time for loads, fails, lags, and keeps a ledger of orders.

--- a/packages/codec/src/configuration_text.cpp
+++ b/packages/codec/src/configuration_text.cpp
@@ -44,6 +44,11 @@
     service.maxInFlight = static_cast<std::uint32_t>(
             reader.readNumber("max_in_flight", {1, 100'000}, service.maxInFlight));
     service.timeout = reader.readMilliseconds("timeout_ms", shortestTimeout, service.timeout);
+    service.minServingPercent = static_cast<std::uint32_t>(
+            reader.readNumber("min_serving_percent", {0, 99}, service.minServingPercent));
+    service.weightLoadsAtOnce = static_cast<std::uint32_t>(
+            reader.readNumber("weight_loads_at_once", {1, 10'000}, service.weightLoadsAtOnce));
+    service.checksFencing = reader.readBool("checks_fencing", service.checksFencing);
     return service;
 }
 
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -1,16 +1,19 @@
 #include <geraniumpulley/codec/peer_messages.hpp>
 
+#include "message_pack.hpp"
+
 #include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/error.hpp>
 
-#include <msgpack.hpp>
-
 #include <tuple>
 #include <utility>
 
 namespace geraniumpulley::codec {
 namespace {
 
+using detail::pack;
+using detail::unpack;
+
 // The wire form of each struct is a tuple of plain values, so that core's structs need no macros.
 using NodeWire = std::tuple<std::string, std::string, std::string, std::uint64_t>;
 using AnnouncementWire = std::tuple<NodeWire, std::uint64_t, std::vector<NodeWire>>;
@@ -26,30 +29,6 @@
                               double, std::vector<SpanWire>>;
 using StepAnswerWire = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<SampleWire>>;
 
-template<typename Wire>
-std::string pack(const Wire &wire)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, wire);
-    return {buffer.data(), buffer.size()};
-}
-
-template<typename Wire>
-core::Result<Wire> unpack(const std::string &bytes)
-{
-    try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-        if (handle.get().type != msgpack::type::ARRAY
-            || handle.get().via.array.size != std::tuple_size_v<Wire>)
-            return make_error_code(Errc::WrongShape);
-        return handle.get().as<Wire>();
-    } catch (const msgpack::insufficient_bytes &) {
-        return make_error_code(Errc::NotWhole);
-    } catch (const std::exception &) {
-        return make_error_code(Errc::WrongShape);
-    }
-}
-
 NodeWire toWire(const core::Node &node)
 {
     return {node.id.value, node.address, node.dataCentre, node.incarnation};
--- /dev/null
+++ b/packages/codec/tests/unit-engine_messages.cpp
@@ -0,0 +1,71 @@
+#include <geraniumpulley/codec/engine_messages.hpp>
+
+#include <geraniumpulley/codec/error.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley;
+
+TEST_CASE("an engine's load becomes a report with its age")
+{
+    const auto report = codec::decodeLoad(R"({"in_flight":3,"version":7,"incarnation":"i1",)"
+                                          R"("loading":true,"sequence":9,"age_ms":1500})",
+                                          {"engine-1"});
+    REQUIRE(report.has_value());
+    CHECK(report.value().version == core::WeightVersion{7});
+    CHECK(report.value().swapping);
+    CHECK(report.value().age == std::chrono::milliseconds(1500));
+    CHECK_FALSE(codec::decodeLoad(R"({"version":7})", {"engine-1"}).has_value());
+}
+
+TEST_CASE("only an answer that names the ordered version or a higher one means done")
+{
+    using core::WeightOrderResult;
+    using core::WeightVersion;
+    const auto decode = codec::decodeWeightOrderAnswer;
+    CHECK(decode(200, R"({"version":7})", WeightVersion{7}) == WeightOrderResult::Done);
+    CHECK(decode(200, R"({"version":6})", WeightVersion{7}) == WeightOrderResult::Failed);
+    CHECK(decode(200, "{}", WeightVersion{7}) == WeightOrderResult::Failed);
+    CHECK(decode(500, "oops", WeightVersion{7}) == WeightOrderResult::Failed);
+    CHECK(decode(409, R"({"refused":"old fence"})", WeightVersion{7})
+          == WeightOrderResult::OldFence);
+}
+
+TEST_CASE("reports survive the wire between nodes, and cut ones are errors")
+{
+    const std::vector<core::EngineReport> reports{{{"engine-1"},
+                                                   core::WeightVersion{7},
+                                                   "i1",
+                                                   3,
+                                                   true,
+                                                   {},
+                                                   std::chrono::milliseconds(20),
+                                                   11}};
+    const std::string whole = codec::encodePeer(reports);
+    const auto decoded = codec::decodeEngineReports(whole);
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value().at(0).sequence == 11);
+    CHECK(decoded.value().at(0).age == std::chrono::milliseconds(20));
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        CHECK_FALSE(codec::decodeEngineReports(whole.substr(0, length)).has_value());
+}
+
+TEST_CASE("the desired row is written on condition of its version and read back")
+{
+    const auto transaction = codec::weightsTransaction({{"quotes"}, core::WeightVersion{8}, 3});
+    REQUIRE(transaction.checks.size() == 1);
+    CHECK(transaction.checks[0].version == 3);
+    const auto read = codec::decodeWeightsRow(
+            R"({"rows":[{"key":"weights/quotes","value":"{\"version\":8}","version":4}]})");
+    REQUIRE(read.has_value());
+    CHECK(read.value().version == core::WeightVersion{8});
+    CHECK(read.value().rowVersion == 4);
+    CHECK(codec::decodeWeightsRow(R"({"rows":[]})").value().rowVersion == 0);
+}
+
+TEST_CASE("a post of weights without a version tells what to change")
+{
+    const auto parsed = codec::parseWeights(R"({"model":"quotes","version":0})");
+    REQUIRE(parsed.problems.size() == 1);
+    CHECK(parsed.problems[0].place == "/version");
+}
--- a/packages/core/src/configuration.cpp
+++ b/packages/core/src/configuration.cpp
@@ -9,6 +9,8 @@
 
 using Problems = std::vector<ConfigurationProblem>;
 
+constexpr std::uint32_t maxMinServingPercent = 99;
+
 std::string servicePlace(std::size_t index, const char *field)
 {
     return "/services/" + std::to_string(index) + "/" + field;
@@ -40,6 +42,11 @@
             problems.push_back({servicePlace(i, "max_in_flight"), "is 0", "1 or more"});
         if (service.timeout <= Duration::zero())
             problems.push_back({servicePlace(i, "timeout_ms"), "is not positive", "1 or more"});
+        if (service.minServingPercent > maxMinServingPercent)
+            problems.push_back({servicePlace(i, "min_serving_percent"),
+                                "leaves no engine to swap weights", "0 to 99"});
+        if (service.weightLoadsAtOnce == 0)
+            problems.push_back({servicePlace(i, "weight_loads_at_once"), "is 0", "1 or more"});
     }
 }
 
--- a/packages/core/src/engine_report.cpp
+++ b/packages/core/src/engine_report.cpp
@@ -4,6 +4,18 @@
 
 namespace geraniumpulley::core {
 
+Time measuredAt(const EngineReport &report)
+{
+    return report.heardAt - report.age;
+}
+
+bool isNewer(const EngineReport &report, const EngineReport &known)
+{
+    if (report.incarnation == known.incarnation)
+        return report.sequence > known.sequence;
+    return measuredAt(report) > measuredAt(known);
+}
+
 const EngineReport *findReport(const EngineReports &reports, const TargetId &target)
 {
     const auto found = std::find_if(reports.reports.begin(), reports.reports.end(),
--- a/packages/node/src/caller_routes.cpp
+++ b/packages/node/src/caller_routes.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_duty.hpp"
 #include "routes.hpp"
 
+#include <geraniumpulley/codec/engine_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -15,6 +16,7 @@
 
 constexpr std::string_view servicesPrefix = "/v1/services/";
 constexpr std::string_view stepsPath = "/v1/steps";
+constexpr std::string_view weightsRoute = "POST /v1/weights";
 constexpr core::Duration defaultTimeout = std::chrono::seconds(5);
 constexpr std::uint64_t maxTimeoutMilliseconds = 3'600'000;
 constexpr std::uint32_t statusBadRequest = 400;
@@ -111,6 +113,18 @@
     return parts.rollout.inbox().tryPush(std::move(event));
 }
 
+bool routeWeights(Parts &parts, const net::DoorRequest &request)
+{
+    codec::ParsedWeights parsed = codec::parseWeights(request.body);
+    if (!parsed.problems.empty()) {
+        const core::ConfigurationProblem &first = parsed.problems.front();
+        return refuse(parts, request.token, statusBadRequest,
+                      first.place + " " + first.problem + "; allowed: " + first.allowed);
+    }
+    return parts.engines.inbox().tryPush(
+            core::WeightsPosted{request.token, std::move(parsed.model), parsed.version});
+}
+
 } // namespace
 
 bool routeCaller(Parts &parts, net::DoorRequest &&request)
@@ -119,8 +133,10 @@
         return routeCall(parts, std::move(request));
     if (request.target.starts_with(stepsPath))
         return routeStep(parts, std::move(request));
+    if (request.method + " " + request.target == weightsRoute)
+        return routeWeights(parts, request);
     return refuse(parts, request.token, statusNotFound,
-                  "use /v1/services/SERVICE/PATH or /v1/steps");
+                  "use /v1/services/SERVICE/PATH, /v1/steps or POST /v1/weights");
 }
 
 } // namespace geraniumpulley::node
--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -137,6 +137,7 @@
         const auto &configuration = put.document.configuration;
         this->parts.dispatch.inbox().push(core::DispatchConfigurationChanged{configuration});
         this->parts.rollout.inbox().push(core::RolloutConfigurationChanged{configuration});
+        this->parts.engines.inbox().push(core::EnginesConfigurationChanged{configuration});
     }
 
     void perform(core::PublishView &&publish)
@@ -145,6 +146,7 @@
                                  field("targets", publish.view->targets.size()));
         this->parts.dispatch.inbox().push(core::DispatchViewChanged{publish.view});
         this->parts.rollout.inbox().push(core::RolloutViewChanged{publish.view});
+        this->parts.engines.inbox().push(core::EnginesViewChanged{publish.view});
     }
 
     void push(core::ControlEvent event) { this->parts.control.deliver(std::move(event)); }
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "control_duty.hpp"
 #include "dispatch_duty.hpp"
+#include "engines_duty.hpp"
 #include "parts.hpp"
 #include "rollout_duty.hpp"
 #include "routes.hpp"
@@ -23,6 +24,7 @@
 using runtime::field;
 
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
+constexpr core::Duration enginesPeriod = std::chrono::milliseconds(250);
 
 // "127.0.0.1:0" with the port that the system chose.
 std::string withPort(const std::string &address, std::uint16_t port)
@@ -64,6 +66,7 @@
     {
         this->timer.stop();
         this->parts.control.stop();
+        this->parts.engines.stop();
         this->parts.dispatch.stop();
         this->parts.rollout.stop();
         this->parts.callers.reset();
@@ -84,6 +87,7 @@
                               makeIncarnation()};
         startDispatch(this->parts, self.id);
         startRollout(this->parts, self.id);
+        startEngines(this->parts, self);
         startControl(this->parts, {self, this->settings.seeds});
         this->subscribeTicks();
         this->parts.logger.write(
@@ -136,6 +140,9 @@
         this->timer.subscribe(rolloutPeriod, [this] {
             static_cast<void>(this->parts.rollout.inbox().tryPush(core::RolloutTick{}));
         });
+        this->timer.subscribe(enginesPeriod, [this] {
+            static_cast<void>(this->parts.engines.inbox().tryPush(core::EnginesTick{}));
+        });
     }
 
     Settings settings;
--- a/packages/node/src/parts.hpp
+++ b/packages/node/src/parts.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/core/control.hpp>
 #include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/engines.hpp>
 #include <geraniumpulley/core/rollout.hpp>
 #include <geraniumpulley/net/http_caller.hpp>
 #include <geraniumpulley/net/http_door.hpp>
@@ -32,6 +33,7 @@
     runtime::Duty<core::ControlEvent> control{decisionRingCapacity};
     runtime::Duty<core::DispatchEvent> dispatch{decisionRingCapacity};
     runtime::Duty<core::RolloutEvent> rollout{decisionRingCapacity};
+    runtime::Duty<core::EnginesEvent> engines{decisionRingCapacity};
     std::unique_ptr<net::PlatformClient> platform;
     std::unique_ptr<net::HttpCaller> targets;
     std::unique_ptr<net::PeerLink> peers;
--- a/packages/node/src/peer_routes.cpp
+++ b/packages/node/src/peer_routes.cpp
@@ -1,5 +1,6 @@
 #include "routes.hpp"
 
+#include <geraniumpulley/codec/engine_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -41,6 +42,14 @@
         if (request)
             return parts.rollout.inbox().tryPush(
                     core::StepRequested{message.token, std::move(request.value()), true});
+    } else if (message.path == "/engine-reports") {
+        return parts.engines.inbox().tryPush(core::ReportsAsked{message.token});
+    } else if (message.path == "/weights") {
+        auto desired = codec::decodeDesiredWeights(message.body);
+        if (desired) {
+            parts.peers->reply(message.token, {});
+            return parts.engines.inbox().tryPush(std::move(desired.value()));
+        }
     }
     parts.logger.write("peer_message_malformed", runtime::field("path", message.path));
     return false;
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -26,6 +26,20 @@
 constexpr Duration prefillPerToken = std::chrono::microseconds(50);
 constexpr std::uint64_t tokensPerChunk = 8;
 
+// A load of weights under way, or the last one.
+struct WeightLoad
+{
+    Time start{};
+    Time end{};
+};
+
+Duration millisecondsOf(const value &order, const char *key, Duration fallback)
+{
+    if (!order.has_field(key))
+        return fallback;
+    return std::chrono::milliseconds(order.at(key).as_number().to_uint64());
+}
+
 struct Stream
 {
     std::string request;
@@ -37,11 +51,19 @@
 // A model engine: tokens take time, and a weight swap changes the version of those that follow.
 struct Engine
 {
+    Time started = geraniumpulley::runtime::now();
+    Duration loadTime = std::chrono::milliseconds(200);
+    Duration reportLag{};
+    std::uint64_t failingLoads = 0; // Of the next ones; they fail half-way.
+    bool checksFencing = false;
+    std::vector<WeightLoad> loads;
+    std::vector<value> orders; // What `/weights` was asked, with what came of it.
     std::string incarnation = fmt::format("{:08x}", std::random_device{}());
     std::map<Time, std::uint64_t> versions{{Time::min(), 1}};
     std::uint64_t highestFence = 0;
     std::map<std::string, std::shared_ptr<Stream>> streams; // Under way, by request.
     std::set<std::string> imports; // Requests whose KV cache was brought here.
+    std::map<Time, std::size_t> inFlight{{Time::min(), 0}}; // For reports that lag.
     std::vector<value> ledger; // Which version made which tokens of which request.
 
     Reply serve(const DoorRequest &request)
@@ -57,6 +79,10 @@
             return this->load();
         if (path == "/weights")
             return this->swap(value::parse(request.body));
+        if (path == "/_engine")
+            return this->configure(value::parse(request.body));
+        if (path == "/_orders")
+            return {200, value::array(this->orders).serialize(), {}};
         if (path == "/_ledger")
             return {200, value::array(this->ledger).serialize(), {}};
         return {404, "{}", {}};
@@ -78,6 +104,7 @@
             stream->made = order.at("resume").at("tokens").as_number().to_uint64();
         const bool hasCache = order.has_field("kv") && this->imports.count(stream->request) != 0;
         this->streams[stream->request] = stream;
+        this->noteInFlight();
         const Duration prefill = prefillPerToken * (hasCache ? 0 : stream->made);
         return {200, "", prefill, [this, stream] { return this->continueStream(stream); }};
     }
@@ -109,8 +136,11 @@
         const auto position = this->streams.find(stream->request);
         if (position != this->streams.end() && position->second == stream)
             this->streams.erase(position);
+        this->noteInFlight();
     }
 
+    void noteInFlight() { this->inFlight[geraniumpulley::runtime::now()] = this->streams.size(); }
+
     // With "export" the answer carries the KV cache, which `/kv/import` of another engine takes.
     Reply cancel(const value &order)
     {
@@ -121,6 +151,7 @@
         position->second->cancelled = true;
         const std::uint64_t made = position->second->made;
         this->streams.erase(position);
+        this->noteInFlight();
         return {200, fmt::format(R"({{"request":"{}","tokens":{}}})", request, made), {}};
     }
 
@@ -142,24 +173,69 @@
         return encoded;
     }
 
+    // Sets how the engine behaves from now on; keys that are not given keep their value.
+    Reply configure(const value &order)
+    {
+        this->loadTime = millisecondsOf(order, "load_ms", this->loadTime);
+        this->reportLag = millisecondsOf(order, "lag_ms", this->reportLag);
+        if (order.has_field("fail_loads"))
+            this->failingLoads = order.at("fail_loads").as_number().to_uint64();
+        if (order.has_field("checks_fencing"))
+            this->checksFencing = order.at("checks_fencing").as_bool();
+        if (order.has_field("version"))
+            this->versions[geraniumpulley::runtime::now()] =
+                    order.at("version").as_number().to_uint64();
+        return {};
+    }
+
+    bool loadsAt(Time time) const
+    {
+        return std::any_of(this->loads.begin(), this->loads.end(), [&](const WeightLoad &load) {
+            return load.start <= time && time < load.end;
+        });
+    }
+
+    // The report shows the engine as it was `reportLag` ago.
     Reply load()
     {
         const Time now = geraniumpulley::runtime::now();
+        const Time seen = std::max(this->started, now - this->reportLag);
+        const auto shown = std::prev(this->inFlight.upper_bound(seen));
+        const std::size_t count = shown->second;
+        using std::chrono::milliseconds;
         return {200,
-                fmt::format(R"({{"in_flight":{},"version":{},"incarnation":"{}"}})",
-                            this->streams.size(), this->versionAt(now), this->incarnation),
+                fmt::format(R"({{"in_flight":{},"version":{},"incarnation":"{}","loading":{},)"
+                            R"("sequence":{},"age_ms":{}}})",
+                            count, this->versionAt(seen), this->incarnation, this->loadsAt(seen),
+                            (seen - this->started).count(),
+                            std::chrono::duration_cast<milliseconds>(now - seen).count()),
                 {}};
     }
 
+    // Does as it is told, also when the order goes back a version: the ledger shows it.
     Reply swap(const value &order)
     {
+        const Time now = geraniumpulley::runtime::now();
         const std::uint64_t fence = order.at("fence").as_number().to_uint64();
-        if (fence < this->highestFence)
+        const std::uint64_t version = order.at("version").as_number().to_uint64();
+        value entry = order;
+        entry["before"] = value::number(this->versionAt(now));
+        entry["while_loading"] = value::boolean(this->loadsAt(now));
+        entry["old_fence"] = value::boolean(fence < this->highestFence);
+        this->orders.push_back(std::move(entry));
+        if (this->checksFencing && fence < this->highestFence)
             return {409, R"({"refused":"old fence"})", {}};
-        this->highestFence = fence;
-        this->versions[geraniumpulley::runtime::now()] =
-                order.at("version").as_number().to_uint64();
-        return {};
+        this->highestFence = std::max(this->highestFence, fence);
+        if (this->loadsAt(now))
+            return {409, R"({"refused":"loading"})", {}};
+        if (this->failingLoads > 0) {
+            --this->failingLoads;
+            this->loads.push_back({now, now + this->loadTime / 2});
+            return {500, R"({"error":"the load failed half-way"})", this->loadTime / 2};
+        }
+        this->loads.push_back({now, now + this->loadTime});
+        this->versions[now + this->loadTime] = version;
+        return {200, fmt::format(R"({{"version":{}}})", version), this->loadTime};
     }
 };
 
