Resolve every submission, spread versions by news and patches

Cause: a verdict was resolved against the newest configuration alone, so asking again after a later version gave "conflict" for an accepted text, and without the store the operator waited for ever. Every node read the whole text each second, sent all members to all members each second, and pushed whole documents to all.

Change: a submission's own row is written in the commit's transaction and checked to be new, so a lost answer is resolved by sending the same transaction again, and after 10 s the verdict is "unknown". The refusal names version, author and differences. The audit row carries changes and digest. Polls read a small head row; news of a version goes to four peers, and only a node that lacks it asks, getting a patch where it has the version before. Members are probed one a tick, suspected, given 3 s to refute, and tried again for 10 min, as in SWIM; news travel on those messages. A target seen leaving by one node is leaving for all.

Tests: the two cases on lost answers and the silent node's drop spoke the old messages; the same demands stand in the new file, over a fake store and network, beside outages, parted regions and a property test over lost, doubled and reordered messages.

--- /dev/null
+++ b/packages/codec/include/geraniumpulley/codec/detail/change_json.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <geraniumpulley/core/configuration.hpp>
+
+#include <cpprest/json.h>
+
+#include <vector>
+
+namespace geraniumpulley::codec::detail {
+
+/// \return an array such as `[{"part":"service","name":"orders","change":"added"}]`.
+web::json::value encodeChanges(const std::vector<core::ConfigurationChange> &changes);
+
+} // namespace geraniumpulley::codec::detail
--- a/packages/codec/include/geraniumpulley/codec/operator_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/operator_messages.hpp
@@ -25,6 +25,7 @@
 std::string encodeProblems(const std::vector<core::ConfigurationProblem> &problems);
 std::string encodeSubmissionAnswer(const core::AnswerSubmission &answer);
 std::string encodeStatus(const core::AnswerStatus &answer);
+std::string encodeReadiness(const core::AnswerStatus &answer);
 
 /// Turns the store's rows into the trail, oldest first; rows that do not parse stay as text.
 std::string encodeAuditTrail(const std::string &rows);
--- a/packages/codec/include/geraniumpulley/codec/peer_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/peer_messages.hpp
@@ -19,6 +19,8 @@
 
 std::string encodePeer(const core::Announcement &announcement);
 std::string encodePeer(const core::ConfigurationDocument &document);
+std::string encodePeer(const core::RequestDocument &request, const core::Node &self);
+std::string encodePeer(const core::DocumentPatch &patch, const core::Node &self);
 std::string encodePeer(const ForwardedCall &forwarded);
 std::string encodePeer(const core::CallAnswer &answer);
 std::string encodePeer(const core::StepRequest &request);
@@ -27,6 +29,8 @@
 core::Result<core::Announcement> decodeAnnouncement(const std::string &bytes);
 /// Parses the carried text as well; a text that does not parse is `Errc::WrongShape`.
 core::Result<core::ConfigurationDocument> decodeDocument(const std::string &bytes);
+core::Result<core::DocumentAsked> decodeDocumentRequest(const std::string &bytes);
+core::Result<core::PatchReceived> decodePatch(const std::string &bytes);
 core::Result<ForwardedCall> decodeForwardedCall(const std::string &bytes);
 core::Result<core::CallAnswer> decodeCallAnswer(const std::string &bytes);
 core::Result<core::StepRequest> decodeStepRequest(const std::string &bytes);
--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -64,11 +64,18 @@
 
 /// The row that holds the newest configuration.
 inline constexpr const char *configurationRowKey = "configuration/current";
+/// The row that holds only the newest version; polls read it.
+inline constexpr const char *headRowKey = "configuration/head";
+/// The prefix of the rows that tell as which version a submission was accepted.
+inline constexpr const char *submissionRowPrefix = "submission/";
 /// The prefix of the audit trail; rows sort by version.
 inline constexpr const char *auditRowPrefix = "audit/";
 
-/// The transaction that accepts a configuration; it commits only on top of its base version.
+/// The transaction that accepts a configuration; it commits only on top of its base version, and
+/// once for each submission id.
 TableTransaction configurationTransaction(const core::CommitConfiguration &commit);
+/// Reads a head row or a submission's row.
+core::Result<core::ConfigurationVersion> decodeVersionRow(const std::string &value);
 core::Result<core::ConfigurationDocument> decodeConfigurationRow(const std::string &value);
 
 std::string encodeBatch(const core::StoreBatch &batch);
--- a/packages/codec/src/operator_messages.cpp
+++ b/packages/codec/src/operator_messages.cpp
@@ -1,6 +1,7 @@
 #include <geraniumpulley/codec/operator_messages.hpp>
 
 #include <geraniumpulley/codec/configuration_text.hpp>
+#include <geraniumpulley/codec/detail/change_json.hpp>
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 #include <geraniumpulley/codec/platform_messages.hpp>
 
@@ -22,6 +23,52 @@
     return encoded;
 }
 
+value encodeMilliseconds(core::Duration duration)
+{
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+    return value::number(static_cast<std::int64_t>(whole.count()));
+}
+
+const char *nameOf(core::MemberState state)
+{
+    switch (state) {
+    case core::MemberState::Alive:
+        return "alive";
+    case core::MemberState::Suspect:
+        return "suspect";
+    case core::MemberState::Dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+value encodeMember(const core::MemberStatus &member)
+{
+    value encoded = encodeNode(member.node);
+    encoded["state"] = value::string(nameOf(member.state));
+    encoded["version"] = value::number(core::number(member.version));
+    encoded["silent_for_ms"] = encodeMilliseconds(member.silentFor);
+    return encoded;
+}
+
+value encodeStore(const std::optional<core::Duration> &silentFor)
+{
+    value encoded = value::object();
+    encoded["reached"] =
+            value::boolean(silentFor.has_value() && *silentFor < core::storeSilenceLimit);
+    if (silentFor)
+        encoded["silent_for_ms"] = encodeMilliseconds(*silentFor);
+    return encoded;
+}
+
+value encodeShards(const std::vector<core::Shard> &shards)
+{
+    std::vector<value> names;
+    for (const core::Shard &shard : shards)
+        names.push_back(value::string(core::nameOf(shard)));
+    return value::array(std::move(names));
+}
+
 value encodeTarget(const core::Target &target)
 {
     value encoded = value::object();
@@ -88,6 +135,8 @@
     body["verdict"] = value::string(nameOf(answer.verdict));
     body["version"] = value::number(core::number(answer.version));
     body["author"] = value::string(answer.author);
+    body["submission_id"] = value::string(answer.submissionId);
+    body["differences"] = detail::encodeChanges(answer.differences);
     return body.serialize();
 }
 
@@ -96,17 +145,32 @@
     std::vector<value> nodes;
     for (const core::Node &node : answer.view->nodes)
         nodes.push_back(encodeNode(node));
+    std::vector<value> members;
+    for (const core::MemberStatus &member : answer.members)
+        members.push_back(encodeMember(member));
     std::vector<value> targets;
     for (const core::Target &target : answer.view->targets)
         targets.push_back(encodeTarget(target));
-    const auto inForceFor =
-            std::chrono::duration_cast<std::chrono::milliseconds>(answer.inForceFor);
     value body = value::object();
     body["node"] = encodeNode(answer.self);
     body["version"] = value::number(core::number(answer.version));
-    body["in_force_for_ms"] = value::number(static_cast<std::int64_t>(inForceFor.count()));
+    body["in_force_for_ms"] = encodeMilliseconds(answer.inForceFor);
     body["nodes"] = value::array(std::move(nodes));
     body["targets"] = value::array(std::move(targets));
+    body["members"] = value::array(std::move(members));
+    body["store"] = encodeStore(answer.storeSilentFor);
+    body["replaced"] = value::boolean(answer.replaced);
+    body["shards"] = encodeShards(answer.shards);
+    return body.serialize();
+}
+
+std::string encodeReadiness(const core::AnswerStatus &answer)
+{
+    value body = value::object();
+    const std::optional<std::string> reason = core::notReadyReason(answer);
+    body["ready"] = value::boolean(!reason);
+    if (reason)
+        body["reason"] = value::string(*reason);
     return body.serialize();
 }
 
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -1,9 +1,8 @@
 #include <geraniumpulley/codec/peer_messages.hpp>
 
-#include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/error.hpp>
 
-#include <msgpack.hpp>
+#include "wire.hpp"
 
 #include <tuple>
 #include <utility>
@@ -11,10 +10,10 @@
 namespace geraniumpulley::codec {
 namespace {
 
+using wire::pack;
+using wire::unpack;
+
 // The wire form of each struct is a tuple of plain values, so that core's structs need no macros.
-using NodeWire = std::tuple<std::string, std::string, std::string, std::uint64_t>;
-using AnnouncementWire = std::tuple<NodeWire, std::uint64_t, std::vector<NodeWire>>;
-using DocumentWire = std::tuple<std::uint64_t, std::string, std::string, std::string>;
 using CallWire = std::tuple<std::string, std::string, std::string, std::string, std::string,
                             std::string, std::string, std::int64_t, bool>;
 using CallAnswerWire = std::tuple<int, int, std::uint32_t, std::string, std::string>;
@@ -26,40 +25,6 @@
                               double, std::vector<SpanWire>>;
 using StepAnswerWire = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<SampleWire>>;
 
-template<typename Wire>
-std::string pack(const Wire &wire)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, wire);
-    return {buffer.data(), buffer.size()};
-}
-
-template<typename Wire>
-core::Result<Wire> unpack(const std::string &bytes)
-{
-    try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
-        if (handle.get().type != msgpack::type::ARRAY
-            || handle.get().via.array.size != std::tuple_size_v<Wire>)
-            return make_error_code(Errc::WrongShape);
-        return handle.get().as<Wire>();
-    } catch (const msgpack::insufficient_bytes &) {
-        return make_error_code(Errc::NotWhole);
-    } catch (const std::exception &) {
-        return make_error_code(Errc::WrongShape);
-    }
-}
-
-NodeWire toWire(const core::Node &node)
-{
-    return {node.id.value, node.address, node.dataCentre, node.incarnation};
-}
-
-core::Node fromWire(const NodeWire &wire)
-{
-    return {{std::get<0>(wire)}, std::get<1>(wire), std::get<2>(wire), std::get<3>(wire)};
-}
-
 SampleWire toWire(const core::SampleSlot &slot, const core::Sample &sample)
 {
     std::vector<SpanWire> spans;
@@ -80,21 +45,6 @@
 
 } // namespace
 
-std::string encodePeer(const core::Announcement &announcement)
-{
-    std::vector<NodeWire> nodes;
-    for (const core::Node &node : announcement.nodes)
-        nodes.push_back(toWire(node));
-    return pack(AnnouncementWire{toWire(announcement.sender), core::number(announcement.version),
-                                 std::move(nodes)});
-}
-
-std::string encodePeer(const core::ConfigurationDocument &document)
-{
-    return pack(DocumentWire{core::number(document.version), document.submissionId, document.author,
-                             document.text});
-}
-
 std::string encodePeer(const ForwardedCall &forwarded)
 {
     const core::Call &call = forwarded.call;
@@ -140,32 +90,6 @@
                                std::move(samples)});
 }
 
-core::Result<core::Announcement> decodeAnnouncement(const std::string &bytes)
-{
-    auto wire = unpack<AnnouncementWire>(bytes);
-    if (!wire)
-        return wire.error();
-    const auto &[sender, version, nodes] = wire.value();
-    core::Announcement announcement{fromWire(sender), core::ConfigurationVersion{version}, {}};
-    for (const NodeWire &node : nodes)
-        announcement.nodes.push_back(fromWire(node));
-    return announcement;
-}
-
-core::Result<core::ConfigurationDocument> decodeDocument(const std::string &bytes)
-{
-    auto wire = unpack<DocumentWire>(bytes);
-    if (!wire)
-        return wire.error();
-    const auto &[version, submissionId, author, text] = wire.value();
-    ParsedConfiguration parsed = parseConfiguration(text);
-    if (!parsed.problems.empty())
-        return make_error_code(Errc::WrongShape);
-    return core::ConfigurationDocument{
-            core::ConfigurationVersion{version}, submissionId, author, text,
-            std::make_shared<const core::Configuration>(std::move(parsed.configuration))};
-}
-
 core::Result<ForwardedCall> decodeForwardedCall(const std::string &bytes)
 {
     auto wire = unpack<CallWire>(bytes);
--- a/packages/codec/src/platform_messages.cpp
+++ b/packages/codec/src/platform_messages.cpp
@@ -1,6 +1,7 @@
 #include <geraniumpulley/codec/platform_messages.hpp>
 
 #include <geraniumpulley/codec/configuration_text.hpp>
+#include <geraniumpulley/codec/detail/change_json.hpp>
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 #include <geraniumpulley/codec/error.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
@@ -27,6 +28,13 @@
     return encoded;
 }
 
+std::string encodeVersion(core::ConfigurationVersion version)
+{
+    value encoded = value::object();
+    encoded["version"] = value::number(core::number(version));
+    return encoded.serialize();
+}
+
 value encodeAudit(const core::AuditEntry &entry)
 {
     const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(entry.when);
@@ -36,6 +44,7 @@
     encoded["author"] = value::string(entry.author);
     encoded["submission_id"] = value::string(entry.submissionId);
     encoded["digest"] = value::string(entry.digest);
+    encoded["changes"] = detail::encodeChanges(entry.changes);
     encoded["when"] = value::string(fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", seconds));
     return encoded;
 }
@@ -119,14 +128,29 @@
     const std::string auditKey =
             fmt::format("{}{:012}", auditRowPrefix, core::number(commit.audit.version));
     TableTransaction transaction;
+    const std::string submissionKey = submissionRowPrefix + commit.audit.submissionId;
     // Versions of the row and of the configuration rise together, one write for each.
-    transaction.checks.push_back({configurationRowKey, core::number(commit.audit.base)});
+    transaction.checks.push_back({headRowKey, core::number(commit.audit.base)});
+    transaction.checks.push_back({submissionKey, 0});
+    transaction.writes.push_back({headRowKey, encodeVersion(commit.audit.version)});
+    transaction.writes.push_back({submissionKey, encodeVersion(commit.audit.version)});
     transaction.writes.push_back(
             {configurationRowKey, encodeDocument(commit.document).serialize()});
     transaction.writes.push_back({auditKey, encodeAudit(commit.audit).serialize()});
     return transaction;
 }
 
+core::Result<core::ConfigurationVersion> decodeVersionRow(const std::string &text)
+{
+    Problems problems;
+    const value parsed = detail::parseJson(text, problems);
+    JsonReader reader(parsed, "", problems);
+    const std::uint64_t version = reader.readNumber("version");
+    if (!problems.empty())
+        return make_error_code(Errc::WrongShape);
+    return core::ConfigurationVersion{version};
+}
+
 core::Result<core::ConfigurationDocument> decodeConfigurationRow(const std::string &text)
 {
     Problems problems;
--- /dev/null
+++ b/packages/codec/src/wire.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <geraniumpulley/codec/error.hpp>
+#include <geraniumpulley/core/result.hpp>
+
+#include <msgpack.hpp>
+
+#include <string>
+#include <tuple>
+
+/// Tuples of plain values to and from MessagePack arrays.
+namespace geraniumpulley::codec::wire {
+
+template<typename Wire>
+std::string pack(const Wire &wire)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, wire);
+    return {buffer.data(), buffer.size()};
+}
+
+template<typename Wire>
+core::Result<Wire> unpack(const std::string &bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        if (handle.get().type != msgpack::type::ARRAY
+            || handle.get().via.array.size != std::tuple_size_v<Wire>)
+            return make_error_code(Errc::WrongShape);
+        return handle.get().as<Wire>();
+    } catch (const msgpack::insufficient_bytes &) {
+        return make_error_code(Errc::NotWhole);
+    } catch (const std::exception &) {
+        return make_error_code(Errc::WrongShape);
+    }
+}
+
+} // namespace geraniumpulley::codec::wire
--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -24,6 +24,8 @@
     std::string method;
     std::string pathPrefix;
     bool repeatable = false;
+
+    auto operator<=>(const CallRule &) const = default;
 };
 
 /// What becomes of a call that may not be repeated and carries no idempotency key.
@@ -41,6 +43,8 @@
     std::uint32_t maxInFlight = 32; ///< Requests at one target at a time.
     Duration timeout = std::chrono::seconds(5); ///< Used where a caller names no deadline.
     WithoutKey withoutKey = WithoutKey::Refuse;
+
+    auto operator<=>(const Service &) const = default;
 };
 
 struct Trainer
@@ -50,6 +54,8 @@
     ServiceName scorer;
     std::uint32_t weight = 1; ///< Share of the engines relative to other trainers.
     std::uint64_t stalenessBound = 1; ///< Versions that a sample may lag behind at hand-over.
+
+    auto operator<=>(const Trainer &) const = default;
 };
 
 struct Configuration
@@ -77,6 +83,23 @@
     std::string allowed;
 };
 
+enum class ChangeKind { Added, Removed, Changed };
+enum class ConfigurationPart { Service, Trainer };
+
+/// One service or trainer in which two configurations differ.
+struct ConfigurationChange
+{
+    ConfigurationPart part = ConfigurationPart::Service;
+    ChangeKind kind = ChangeKind::Changed;
+    std::string name;
+
+    auto operator<=>(const ConfigurationChange &) const = default;
+};
+
+/// \return what has to change to get from one configuration to the other, by part and name.
+/// Complexity: linear in services and trainers, times a logarithm.
+std::vector<ConfigurationChange> difference(const Configuration &from, const Configuration &to);
+
 /// Checks a configuration as a whole: names, references, dependency cycles, limits.
 /// \return all problems, empty when the configuration may be submitted.
 /// Complexity: linear in services, trainers and dependencies, times a logarithm.
--- a/packages/core/src/control.cpp
+++ b/packages/core/src/control.cpp
@@ -1,6 +1,9 @@
 #include <geraniumpulley/core/control.hpp>
 
-#include <algorithm>
+#include "control_parts.hpp"
+
+#include <xxhash.h>
+
 #include <cassert>
 #include <memory>
 #include <utility>
@@ -8,178 +11,135 @@
 namespace geraniumpulley::core {
 namespace {
 
-using Actions = std::vector<ControlAction>;
-
-Announcement makeAnnouncement(const ControlState &state)
-{
-    Announcement announcement{state.settings.self, versionInForce(state), {}};
-    for (const auto &[id, known] : state.nodes)
-        announcement.nodes.push_back(known.node);
-    return announcement;
-}
+using detail::ControlActions;
 
 ViewPointer makeView(const ControlState &state)
 {
     auto view = std::make_shared<View>();
     view->nodes.push_back(state.settings.self);
-    for (const auto &[id, known] : state.nodes)
-        view->nodes.push_back(known.node);
+    for (const auto &[id, known] : state.nodes) {
+        if (detail::isLive(known))
+            view->nodes.push_back(known.node);
+    }
     view->targets = state.targets;
     return view;
 }
 
-// A lower or equal version changes nothing: replies may be late, doubled or out of order.
-void putInForce(ControlState &state, const ConfigurationDocument &document, Time now,
-                Actions &actions)
-{
-    if (document.version <= versionInForce(state))
-        return;
-    state.inForce = document;
-    state.inForceSince = now;
-    actions.push_back(PutInForce{document});
-    for (const auto &[id, known] : state.nodes)
-        actions.push_back(SendDocument{known.node, document});
-}
-
-// A peer that heard of another node vouches for it until it has been silent for the limit itself.
-bool learnNode(ControlState &state, const Node &node, Time now, bool heardDirectly)
+std::vector<Shard> heldShards(const ControlState &state)
 {
-    if (node.id == state.settings.self.id)
-        return false;
-    const auto [position, isNew] = state.nodes.try_emplace(node.id, KnownNode{node, now});
-    KnownNode &known = position->second;
-    if (isNew)
-        return true;
-    if (node.incarnation < known.node.incarnation)
-        return false;
-    if (heardDirectly)
-        known.lastHeard = now;
-    if (node == known.node)
-        return false;
-    known.node = node;
-    return true;
+    std::vector<Shard> held;
+    for (const auto &[shard, known] : state.leases.fences) {
+        const FenceRecord &record = known.row.record;
+        if (record.holder == state.settings.self.id
+            && record.incarnation == state.settings.self.incarnation && !state.leases.superseded)
+            held.push_back(shard);
+    }
+    return held;
 }
 
-bool dropSilentNodes(ControlState &state, Time now)
+AnswerStatus makeStatus(const ControlState &state, const StatusAsked &event, Time now)
 {
-    const std::size_t dropped = std::erase_if(state.nodes, [&](const auto &entry) {
-        return now - entry.second.lastHeard > state.settings.silenceLimit;
-    });
-    return dropped > 0;
+    AnswerStatus status;
+    status.reply = event.reply;
+    status.question = event.question;
+    status.self = state.settings.self;
+    status.version = versionInForce(state);
+    status.inForceFor = state.inForce ? now - state.inForceSince : Duration::zero();
+    status.view = makeView(state);
+    for (const auto &[id, known] : state.nodes)
+        status.members.push_back({known.node, known.state, known.version, now - known.lastHeard});
+    if (state.storeAnswered)
+        status.storeSilentFor = now - *state.storeAnswered;
+    status.replaced = state.replaced || state.leases.superseded;
+    status.shards = heldShards(state);
+    return status;
 }
 
 struct Handler
 {
     ControlState &state;
     Time now;
-    Actions actions;
+    ControlActions actions;
 
     void operator()(const SubmissionReceived &event)
     {
-        const OperationId operation = this->state.nextOperation;
-        this->state.nextOperation = next(operation);
-        ConfigurationDocument document = event.document;
-        document.version = next(event.base);
-        const AuditEntry audit{document.version,      event.base, document.author,
-                               document.submissionId, {},         event.when};
-        this->state.submissions[operation] = PendingSubmission{event.reply, document};
-        this->actions.push_back(CommitConfiguration{operation, document, audit});
+        detail::submit(this->state, event, this->now, this->actions);
     }
 
     void operator()(const CommitSucceeded &event)
     {
-        const auto position = this->state.submissions.find(event.operation);
-        if (position == this->state.submissions.end())
-            return;
-        const PendingSubmission pending = position->second;
-        this->state.submissions.erase(position);
-        putInForce(this->state, pending.document, this->now, this->actions);
-        this->actions.push_back(AnswerSubmission{pending.reply, SubmissionVerdict::Accepted,
-                                                 pending.document.version,
-                                                 pending.document.author});
+        this->state.storeAnswered = this->now;
+        detail::onCommitSucceeded(this->state, event.operation, this->now, this->actions);
     }
 
     void operator()(const CommitRefused &event)
     {
-        const auto position = this->state.submissions.find(event.operation);
-        if (position == this->state.submissions.end())
-            return;
-        position->second.refused = true;
-        this->actions.push_back(ReadConfiguration{});
+        this->state.storeAnswered = this->now;
+        detail::onCommitRefused(this->state, event.operation, this->actions);
     }
 
     void operator()(const CommitUncertain &event)
     {
-        const auto position = this->state.submissions.find(event.operation);
-        if (position == this->state.submissions.end())
-            return;
-        position->second.uncertain = true;
-        this->actions.push_back(ReadConfiguration{});
+        detail::onCommitUncertain(this->state, event.operation);
+    }
+
+    void operator()(const SubmissionRead &event)
+    {
+        this->state.storeAnswered = this->now;
+        detail::onSubmissionRead(this->state, event, this->now, this->actions);
+    }
+
+    // The next tick reads again, until the submission's time is up.
+    void operator()(const SubmissionReadFailed &) { }
+
+    void operator()(const StoreUnanswered &) { }
+
+    void operator()(const HeadRead &event)
+    {
+        this->state.storeAnswered = this->now;
+        if (event.version > versionInForce(this->state))
+            this->actions.push_back(ReadConfiguration{});
     }
 
     void operator()(const ConfigurationRead &event)
     {
+        this->state.storeAnswered = this->now;
         if (event.document)
-            putInForce(this->state, *event.document, this->now, this->actions);
-        std::erase_if(this->state.submissions, [&](const auto &entry) {
-            const PendingSubmission &pending = entry.second;
-            if (!pending.refused && !pending.uncertain)
-                return false;
-            this->resolve(pending, event.document);
-            return true;
-        });
-    }
-
-    // The unique submission id tells our own commit, whose answer was lost, from somebody else's.
-    void resolve(const PendingSubmission &pending,
-                 const std::optional<ConfigurationDocument> &stored)
-    {
-        AnswerSubmission answer{pending.reply, SubmissionVerdict::Unknown, {}, {}};
-        if (stored) {
-            const bool ours = stored->submissionId == pending.document.submissionId;
-            const bool lost = stored->version >= pending.document.version || pending.refused;
-            if (ours)
-                answer.verdict = SubmissionVerdict::Accepted;
-            else if (lost)
-                answer.verdict = SubmissionVerdict::Conflict;
-            answer.version = stored->version;
-            answer.author = stored->author;
-        }
-        this->actions.push_back(answer);
+            detail::putInForce(this->state, *event.document, std::nullopt, this->now,
+                               this->actions);
+        detail::onBaseRead(this->state, this->actions);
     }
 
-    void operator()(const TargetsListed &event)
+    void operator()(const DocumentReceived &event)
     {
-        if (event.targets == this->state.targets)
-            return;
-        this->state.targets = event.targets;
-        this->actions.push_back(PublishView{makeView(this->state)});
+        detail::putInForce(this->state, event.document, std::nullopt, this->now, this->actions);
     }
 
-    void operator()(const AnnouncementReceived &event)
+    void operator()(const DocumentAsked &event)
     {
-        const Announcement &announcement = event.announcement;
-        bool changed = learnNode(this->state, announcement.sender, this->now, true);
-        for (const Node &node : announcement.nodes)
-            changed = learnNode(this->state, node, this->now, false) || changed;
-        if (changed)
-            this->publishView();
-        if (announcement.version < versionInForce(this->state))
-            this->actions.push_back(SendDocument{announcement.sender, *this->state.inForce});
+        detail::answerDocumentRequest(this->state, event, this->actions);
     }
 
-    void operator()(const DocumentReceived &event)
+    void operator()(const PatchReceived &event)
     {
-        putInForce(this->state, event.document, this->now, this->actions);
+        detail::onPatch(this->state, event, this->actions);
+    }
+
+    void operator()(const TargetsListed &event)
+    {
+        if (detail::onTargets(this->state, event.targets))
+            this->actions.push_back(PublishView{makeView(this->state)});
+    }
+
+    void operator()(const AnnouncementReceived &event)
+    {
+        if (detail::onAnnouncement(this->state, event.announcement, this->now, this->actions))
+            this->publishView();
     }
 
     void operator()(const StatusAsked &event)
     {
-        const Duration inForceFor =
-                this->state.inForce ? this->now - this->state.inForceSince : Duration::zero();
-        this->actions.push_back(AnswerStatus{event.reply, event.question, this->state.settings.self,
-                                             versionInForce(this->state), inForceFor,
-                                             makeView(this->state)});
+        this->actions.push_back(makeStatus(this->state, event, this->now));
     }
 
     void operator()(const LeaseEvent &event)
@@ -188,31 +148,22 @@
             this->actions.emplace_back(std::move(action));
     }
 
+    void operator()(const ControlTick &)
+    {
+        if (detail::expireMembers(this->state, this->now))
+            this->publishView();
+        (*this)(LeaseEvent{LeaseTick{}});
+        detail::advanceSubmissions(this->state, this->now, this->actions);
+        detail::pollStore(this->state, this->now, this->actions);
+        detail::probeMembers(this->state, this->now, this->actions);
+    }
+
     void publishView()
     {
         const ViewPointer view = makeView(this->state);
         this->actions.push_back(PublishView{view});
         (*this)(LeaseEvent{LeaseNodesChanged{view->nodes}});
     }
-
-    void operator()(const ControlTick &)
-    {
-        if (dropSilentNodes(this->state, this->now))
-            this->publishView();
-        (*this)(LeaseEvent{LeaseTick{}});
-        this->actions.push_back(ReadConfiguration{versionInForce(this->state)});
-        this->actions.push_back(ListTargets{});
-        const Announcement announcement = makeAnnouncement(this->state);
-        for (const auto &[id, known] : this->state.nodes)
-            this->actions.push_back(SendAnnouncement{known.node, announcement});
-        for (const std::string &seed : this->state.settings.seeds) {
-            const bool known = std::any_of(
-                    this->state.nodes.begin(), this->state.nodes.end(),
-                    [&](const auto &entry) { return entry.second.node.address == seed; });
-            if (!known)
-                this->actions.push_back(SendAnnouncement{Node{{}, seed, {}, 0}, announcement});
-        }
-    }
 };
 
 } // namespace
@@ -220,7 +171,10 @@
 ControlState makeControlState(ControlSettings settings)
 {
     ControlState state;
+    const std::string &id = settings.self.id.value;
     state.leases = makeLeaseState(settings.self);
+    // The generator must not start at 0.
+    state.random = XXH3_64bits_withSeed(id.data(), id.size(), settings.self.incarnation) | 1U;
     state.settings = std::move(settings);
     return state;
 }
@@ -230,6 +184,20 @@
     return state.inForce ? state.inForce->version : ConfigurationVersion{};
 }
 
+std::optional<std::string> notReadyReason(const AnswerStatus &status)
+{
+    if (status.replaced)
+        return "a newer process runs under this node's id";
+    if (number(status.version) > 0)
+        return std::nullopt;
+    const bool storeAnswers = status.storeSilentFor && *status.storeSilentFor < storeSilenceLimit;
+    if (storeAnswers)
+        return "no configuration was ever submitted";
+    if (status.members.empty())
+        return "the store does not answer and no other node is known";
+    return "the store does not answer and no known node has a configuration";
+}
+
 std::vector<ControlAction> step(ControlState &state, const ControlEvent &event, Time now)
 {
     const ConfigurationVersion before = versionInForce(state);
--- /dev/null
+++ b/packages/core/tests/control_network.hpp
@@ -0,0 +1,303 @@
+#pragma once
+
+#include <geraniumpulley/core/control.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Control decisions of many nodes on a virtual clock, joined by a fake network and a fake store.
+namespace fake {
+
+using namespace geraniumpulley::core;
+
+struct Faults
+{
+    double duplicated = 0; ///< Share of the messages that arrive twice.
+    double lost = 0;
+    Duration latest = std::chrono::milliseconds(20); ///< Delays vary up to this.
+};
+
+struct Counters
+{
+    std::uint64_t messages = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t events = 0;
+};
+
+struct Network
+{
+    struct Member
+    {
+        ControlState state;
+        bool runs = true;
+        int region = 0;
+        std::vector<AnswerSubmission> answers;
+        std::vector<ConfigurationVersion> inForce; ///< In the order in which they came.
+        Time lastChange{};
+    };
+
+    std::map<std::string, Member> members; ///< By address.
+    std::multimap<Time, std::function<void()>> agenda;
+    std::vector<ConfigurationDocument> stored;
+    std::map<std::string, ConfigurationVersion> submissions;
+    std::vector<AuditEntry> audit;
+    std::vector<Target> targets;
+    std::map<Shard, FenceRow> fences;
+    std::map<NodeId, std::pair<LeaseRecord, std::uint64_t>> leases;
+    bool storeRuns = true;
+    bool loseCommitAnswers = false;
+    bool parted = false;
+    bool gossips = true;
+    bool polls = true;
+    Faults faults;
+    Counters counters;
+    std::function<void(const ControlAction &)> onSend = [](const ControlAction &) {};
+    std::mt19937_64 random;
+    Time now{std::chrono::hours(1)};
+
+    explicit Network(std::uint64_t seed) : random(seed) { }
+
+    static std::string addressOf(int index) { return "node-" + std::to_string(index); }
+
+    Member &at(int index) { return this->members.at(addressOf(index)); }
+
+    void start(int index, std::uint64_t incarnation = 1)
+    {
+        const std::string address = addressOf(index);
+        ControlSettings settings;
+        settings.self = Node{{address}, address, "dc", incarnation};
+        if (index > 0)
+            settings.seeds.push_back(addressOf(0));
+        this->members[address] = Member{makeControlState(settings), true, 0, {}, {}, this->now};
+        this->scheduleTick(address, incarnation);
+    }
+
+    void scheduleTick(const std::string &address, std::uint64_t incarnation)
+    {
+        const Duration period = std::chrono::milliseconds(900 + this->random() % 200);
+        this->agenda.emplace(this->now + period, [this, address, incarnation] {
+            Member &member = this->members.at(address);
+            if (member.state.settings.self.incarnation != incarnation)
+                return;
+            if (member.runs)
+                this->give(address, ControlTick{});
+            this->scheduleTick(address, incarnation);
+        });
+    }
+
+    void run(Duration length)
+    {
+        const Time end = this->now + length;
+        while (!this->agenda.empty() && this->agenda.begin()->first <= end) {
+            auto entry = this->agenda.extract(this->agenda.begin());
+            this->now = entry.key();
+            entry.mapped()();
+        }
+        this->now = end;
+    }
+
+    void submit(int index, std::uint64_t base, const std::string &id, const std::string &text = "")
+    {
+        ConfigurationDocument document{{}, id, "ines", text, std::make_shared<Configuration>()};
+        this->give(addressOf(index),
+                   SubmissionReceived{ReplyToken{1}, ConfigurationVersion{base}, document, {}});
+    }
+
+    void give(const std::string &address, const ControlEvent &event)
+    {
+        Member &member = this->members.at(address);
+        if (!member.runs)
+            return;
+        ++this->counters.events;
+        for (const ControlAction &action : step(member.state, event, this->now))
+            std::visit([&](const auto &content) { this->perform(address, content); }, action);
+    }
+
+    Duration delay()
+    {
+        return Duration(1
+                        + this->random() % static_cast<std::uint64_t>(this->faults.latest.count()));
+    }
+
+    bool happens(double share) { return std::uniform_real_distribution<>()(this->random) < share; }
+
+    void later(const std::string &address, ControlEvent event)
+    {
+        this->agenda.emplace(this->now + this->delay(), [this, address, event = std::move(event)] {
+            this->give(address, event);
+        });
+    }
+
+    void send(const std::string &from, const std::string &to, const ControlAction &action,
+              const ControlEvent &event)
+    {
+        if (!this->gossips)
+            return;
+        ++this->counters.messages;
+        this->onSend(action);
+        const auto target = this->members.find(to);
+        const bool cut =
+                target == this->members.end()
+                || (this->parted && this->members.at(from).region != target->second.region);
+        if (cut || this->happens(this->faults.lost))
+            return;
+        this->later(to, event);
+        if (this->happens(this->faults.duplicated))
+            this->later(to, event);
+    }
+
+    void read(const std::string &address, ControlEvent event)
+    {
+        ++this->counters.reads;
+        this->later(address, this->storeRuns ? std::move(event) : ControlEvent{StoreUnanswered{}});
+    }
+
+    std::optional<ConfigurationDocument> newest() const
+    {
+        return this->stored.empty() ? std::nullopt : std::optional(this->stored.back());
+    }
+
+    bool commitConfiguration(const CommitConfiguration &commit)
+    {
+        const bool fits = number(commit.audit.base) == this->stored.size()
+                          && !this->submissions.contains(commit.audit.submissionId);
+        if (!fits)
+            return false;
+        this->stored.push_back(commit.document);
+        this->submissions[commit.audit.submissionId] = commit.document.version;
+        this->audit.push_back(commit.audit);
+        return true;
+    }
+
+    void perform(const std::string &address, const CommitConfiguration &commit)
+    {
+        ++this->counters.writes;
+        if (!this->storeRuns)
+            return this->later(address, CommitUncertain{commit.operation});
+        const bool done = this->commitConfiguration(commit);
+        if (this->loseCommitAnswers)
+            return this->later(address, CommitUncertain{commit.operation});
+        if (done)
+            return this->later(address, CommitSucceeded{commit.operation});
+        this->later(address, CommitRefused{commit.operation});
+    }
+
+    void perform(const std::string &address, const ReadConfiguration &)
+    {
+        this->read(address, ConfigurationRead{this->newest()});
+    }
+
+    void perform(const std::string &address, const ReadHead &)
+    {
+        if (this->polls)
+            this->read(address, HeadRead{ConfigurationVersion{this->stored.size()}});
+    }
+
+    void perform(const std::string &address, const ReadSubmission &read)
+    {
+        SubmissionRead result{read.operation, std::nullopt, this->newest()};
+        if (this->submissions.contains(read.submissionId))
+            result.acceptedAs = this->submissions[read.submissionId];
+        this->read(address, result);
+    }
+
+    void perform(const std::string &address, const ListTargets &)
+    {
+        this->read(address, TargetsListed{this->targets});
+    }
+
+    void perform(const std::string &from, const SendAnnouncement &action)
+    {
+        this->send(from, action.to.address, action, AnnouncementReceived{action.announcement});
+    }
+
+    void perform(const std::string &from, const SendDocument &action)
+    {
+        this->send(from, action.to.address, action, DocumentReceived{action.document});
+    }
+
+    void perform(const std::string &from, const RequestDocument &action)
+    {
+        const Node &self = this->members.at(from).state.settings.self;
+        this->send(from, action.to.address, action, DocumentAsked{self, action.known});
+    }
+
+    void perform(const std::string &from, const SendPatch &action)
+    {
+        const Node &self = this->members.at(from).state.settings.self;
+        this->send(from, action.to.address, action, PatchReceived{self, action.patch});
+    }
+
+    void perform(const std::string &address, const ParseDocument &action)
+    {
+        ConfigurationDocument document = action.document;
+        document.configuration = std::make_shared<Configuration>();
+        this->give(address, DocumentReceived{document});
+    }
+
+    void perform(const std::string &address, const AnswerSubmission &answer)
+    {
+        this->members.at(address).answers.push_back(answer);
+    }
+
+    void perform(const std::string &address, const PutInForce &action)
+    {
+        Member &member = this->members.at(address);
+        member.inForce.push_back(action.document.version);
+        member.lastChange = this->now;
+    }
+
+    void perform(const std::string &, const AnswerStatus &) { }
+    void perform(const std::string &, const PublishView &) { }
+
+    void perform(const std::string &address, const LeaseAction &action)
+    {
+        if (std::holds_alternative<ReadFences>(action)) {
+            FencesRead event;
+            for (const auto &[shard, row] : this->fences)
+                event.rows.push_back(row);
+            this->read(address, LeaseEvent{event});
+        } else if (const auto *wanted = std::get_if<ReadLeaseRow>(&action)) {
+            const auto row = this->leases.find(wanted->node);
+            LeaseRowRead event{wanted->node, std::nullopt, {}};
+            if (row != this->leases.end())
+                event = {wanted->node, row->second.first, RowVersion{row->second.second}};
+            this->read(address, LeaseEvent{event});
+        } else if (const auto *commit = std::get_if<CommitLeases>(&action)) {
+            ++this->counters.writes;
+            CommitResult result = CommitResult::Uncertain;
+            if (this->storeRuns)
+                result = this->commitLeases(*commit) ? CommitResult::Committed
+                                                     : CommitResult::Refused;
+            this->later(address, LeaseEvent{LeaseCommitAnswered{result}});
+        }
+    }
+
+    bool commitLeases(const CommitLeases &commit)
+    {
+        if (this->leases[commit.self].second != number(commit.expected))
+            return false;
+        for (const FenceChange &change : commit.changes) {
+            const FenceRow &expected = change.expected;
+            if (this->fences[expected.shard].fence != expected.fence)
+                return false;
+            if (change.holderLease
+                && this->leases[expected.record.holder].second != number(*change.holderLease))
+                return false;
+        }
+        this->leases[commit.self] = {commit.renewal, number(commit.expected) + 1};
+        for (const FenceChange &change : commit.changes)
+            this->fences[change.expected.shard] = {change.expected.shard, change.record,
+                                                   next(change.expected.fence)};
+        return true;
+    }
+};
+
+} // namespace fake
--- /dev/null
+++ b/packages/core/tests/unit-control_properties.cpp
@@ -0,0 +1,50 @@
+#include "control_network.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace geraniumpulley::core;
+using namespace std::chrono_literals;
+using fake::Network;
+
+namespace {
+
+// Runs changes through a network that loses, doubles and reorders, with the store out now and then.
+void followChanges(std::uint64_t seed, int outageBeforeChange)
+{
+    Network network(seed);
+    for (int i = 0; i < 6; ++i)
+        network.start(i);
+    network.faults = {0.3, 0.2, 3s};
+    network.run(10s);
+    for (int change = 0; change < 4; ++change) {
+        network.storeRuns = change != outageBeforeChange;
+        network.submit(change, network.stored.size(), "s" + std::to_string(change));
+        network.run(Duration(seed % 5'000'000));
+    }
+    network.storeRuns = true;
+    network.run(60s);
+    for (const auto &[address, member] : network.members) {
+        RC_ASSERT(std::is_sorted(member.inForce.begin(), member.inForce.end()));
+        RC_ASSERT(number(versionInForce(member.state)) == network.stored.size());
+        for (const AnswerSubmission &answer : member.answers) {
+            const auto row = network.submissions.find(answer.submissionId);
+            if (answer.verdict == SubmissionVerdict::Accepted)
+                RC_ASSERT(row != network.submissions.end() && row->second == answer.version);
+            if (answer.verdict == SubmissionVerdict::Conflict)
+                RC_ASSERT(row == network.submissions.end());
+        }
+    }
+    RC_ASSERT(network.audit.size() == network.stored.size());
+}
+
+} // namespace
+
+TEST_CASE("lost, doubled and reordered messages: versions only rise, verdicts are true, all agree")
+{
+    CHECK(rc::check("spread and verdicts", [] {
+        followChanges(*rc::gen::arbitrary<std::uint32_t>(), *rc::gen::inRange(-1, 4));
+    }));
+}
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -142,6 +142,7 @@
         base = versionInForce(server);
     if (!base)
         return exitFailed;
+    fmt::print("base version={}\n", *base);
     core::ConfigurationDocument document;
     document.author = arguments["author"].as<std::string>();
     document.submissionId =
--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -2,13 +2,16 @@
 
 #include "lease_actions.hpp"
 
+#include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/operator_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -60,28 +63,103 @@
         return core::CommitUncertain{operation};
     }
 
+    // Calls `done` with the rows, or with nothing when the store did not tell.
+    void readRows(const std::string &query,
+                  std::function<void(std::vector<codec::TableRow> &&)> done,
+                  core::ControlEvent failure = core::StoreUnanswered{})
+    {
+        this->parts.platform->send(
+                {"GET",
+                 "/table/rows?" + query,
+                 {},
+                 [this, done = std::move(done), failure](net::PlatformReply &&reply) {
+                     const bool answered = reply.answered && reply.status == statusOk;
+                     auto rows = codec::decodeRows(answered ? reply.body : std::string());
+                     if (rows)
+                         return done(std::move(rows.value()));
+                     this->parts.logger.write("store_unavailable", field("read", "configuration"));
+                     this->push(failure);
+                 }});
+    }
+
+    std::optional<core::ConfigurationDocument> documentOf(const std::vector<codec::TableRow> &rows)
+    {
+        if (rows.empty())
+            return std::nullopt;
+        auto document = codec::decodeConfigurationRow(rows.front().value);
+        if (document)
+            return std::move(document.value());
+        this->parts.logger.write("stored_configuration_malformed");
+        return std::nullopt;
+    }
+
     void perform(core::ReadConfiguration &&)
     {
-        const std::string path = std::string("/table/rows?key=") + codec::configurationRowKey;
-        this->parts.platform->send({"GET", path, {}, [this](net::PlatformReply &&reply) {
-                                        this->onConfigurationRow(reply);
-                                    }});
+        this->readRows(std::string("key=") + codec::configurationRowKey, [this](auto &&rows) {
+            this->push(core::ConfigurationRead{this->documentOf(rows)});
+        });
+    }
+
+    void perform(core::ReadHead &&)
+    {
+        this->readRows(std::string("key=") + codec::headRowKey, [this](auto &&rows) {
+            core::HeadRead head;
+            if (!rows.empty()) {
+                const auto version = codec::decodeVersionRow(rows.front().value);
+                if (!version)
+                    return this->parts.logger.write("head_row_malformed");
+                head.version = version.value();
+            }
+            this->push(head);
+        });
+    }
+
+    // The submission's own row is read first: when it is missing, the newest configuration, read
+    // later, shows who won.
+    void perform(core::ReadSubmission &&read)
+    {
+        const core::ControlEvent failure = core::SubmissionReadFailed{read.operation};
+        const std::string query =
+                std::string("key=") + codec::submissionRowPrefix + read.submissionId;
+        this->readRows(
+                query,
+                [this, operation = read.operation, failure](auto &&rows) {
+                    core::SubmissionRead result{operation, std::nullopt, std::nullopt};
+                    if (!rows.empty()) {
+                        const auto version = codec::decodeVersionRow(rows.front().value);
+                        if (version)
+                            result.acceptedAs = version.value();
+                    }
+                    this->readRows(
+                            std::string("key=") + codec::configurationRowKey,
+                            [this, result](auto &&documents) mutable {
+                                result.newest = this->documentOf(documents);
+                                this->push(std::move(result));
+                            },
+                            failure);
+                },
+                failure);
+    }
+
+    void perform(core::RequestDocument &&request)
+    {
+        this->sendPeer(request.to, "/document_request",
+                       codec::encodePeer(request, this->state.settings.self));
+    }
+
+    void perform(core::SendPatch &&send)
+    {
+        this->sendPeer(send.to, "/patch", codec::encodePeer(send.patch, this->state.settings.self));
     }
 
-    void onConfigurationRow(const net::PlatformReply &reply)
+    void perform(core::ParseDocument &&parse)
     {
-        if (!reply.answered || reply.status != statusOk)
-            return this->parts.logger.write("store_unavailable", field("read", "configuration"));
-        const auto rows = codec::decodeRows(reply.body);
-        if (!rows)
-            return this->parts.logger.write("store_reply_malformed",
-                                            field("read", "configuration"));
-        if (rows.value().empty())
-            return this->push(core::ConfigurationRead{});
-        const auto document = codec::decodeConfigurationRow(rows.value().front().value);
-        if (!document)
-            return this->parts.logger.write("stored_configuration_malformed");
-        this->push(core::ConfigurationRead{document.value()});
+        codec::ParsedConfiguration parsed = codec::parseConfiguration(parse.document.text);
+        if (!parsed.problems.empty())
+            return this->parts.logger.write("peer_document_malformed");
+        parse.document.configuration =
+                std::make_shared<const core::Configuration>(std::move(parsed.configuration));
+        this->push(core::DocumentReceived{std::move(parse.document)});
     }
 
     void perform(core::ListTargets &&)
@@ -127,11 +205,9 @@
     {
         net::DoorAnswer reply;
         reply.token = answer.reply;
-        const bool ready = core::number(answer.version) > 0;
         if (answer.question == core::StatusQuestion::Readiness) {
-            reply.status = ready ? statusOk : statusUnavailable;
-            reply.body = ready ? R"({"ready":true})"
-                               : R"({"ready":false,"reason":"no configuration in force"})";
+            reply.status = core::notReadyReason(answer) ? statusUnavailable : statusOk;
+            reply.body = codec::encodeReadiness(answer);
         } else {
             reply.body = codec::encodeStatus(answer);
         }
--- a/packages/node/src/lease_actions.cpp
+++ b/packages/node/src/lease_actions.cpp
@@ -87,11 +87,12 @@
     void operator()(const core::CommitLeases &commit) const
     {
         const std::string body = codec::encodeTransaction(codec::leaseTransaction(commit));
-        for (const core::FenceChange &change : commit.changes)
+        for (const core::FenceChange &change : commit.changes) {
             this->parts.logger.write("lease_change_sent",
                                      field("shard", core::nameOf(change.expected.shard)),
                                      field("from", change.expected.record.holder.value),
                                      field("to", change.record.holder.value));
+        }
         this->parts.platform->send({"POST", "/table/transact", body,
                                     [&parts = this->parts](net::PlatformReply &&reply) {
                                         push(parts, core::LeaseCommitAnswered{commitResult(reply)});
--- a/packages/node/src/peer_routes.cpp
+++ b/packages/node/src/peer_routes.cpp
@@ -30,6 +30,14 @@
         if (document)
             return routeControl(parts, message.token,
                                 core::DocumentReceived{std::move(document.value())});
+    } else if (message.path == "/document_request") {
+        auto request = codec::decodeDocumentRequest(message.body);
+        if (request)
+            return routeControl(parts, message.token, std::move(request.value()));
+    } else if (message.path == "/patch") {
+        auto patch = codec::decodePatch(message.body);
+        if (patch)
+            return routeControl(parts, message.token, std::move(patch.value()));
     } else if (message.path == "/fences_changed") {
         return routeControl(parts, message.token, core::LeaseEvent{core::FencesChangedHeard{}});
     } else if (message.path == "/call") {
