--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -2,7 +2,6 @@
 
 #include "message_pack.hpp"
 
-#include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/error.hpp>
 
 #include <tuple>
@@ -15,9 +14,6 @@
 using detail::unpack;
 
 // The wire form of each struct is a tuple of plain values, so that core's structs need no macros.
-using NodeWire = std::tuple<std::string, std::string, std::string, std::uint64_t>;
-using AnnouncementWire = std::tuple<NodeWire, std::uint64_t, std::vector<NodeWire>>;
-using DocumentWire = std::tuple<std::uint64_t, std::string, std::string, std::string>;
 using CallWire = std::tuple<std::string, std::string, std::string, std::string, std::string,
                             std::string, std::string, std::int64_t, bool>;
 using CallAnswerWire = std::tuple<int, int, std::uint32_t, std::string, std::string>;
@@ -33,16 +29,6 @@
 
 constexpr std::int64_t noStalenessBound = -1;
 
-NodeWire toWire(const core::Node &node)
-{
-    return {node.id.value, node.address, node.dataCentre, node.incarnation};
-}
-
-core::Node fromWire(const NodeWire &wire)
-{
-    return {{std::get<0>(wire)}, std::get<1>(wire), std::get<2>(wire), std::get<3>(wire)};
-}
-
 SampleWire toWire(const core::SampleSlot &slot, const core::Sample &sample)
 {
     std::vector<SpanWire> spans;
@@ -63,21 +49,6 @@
 
 } // namespace
 
-std::string encodePeer(const core::Announcement &announcement)
-{
-    std::vector<NodeWire> nodes;
-    for (const core::Node &node : announcement.nodes)
-        nodes.push_back(toWire(node));
-    return pack(AnnouncementWire{toWire(announcement.sender), core::number(announcement.version),
-                                 std::move(nodes)});
-}
-
-std::string encodePeer(const core::ConfigurationDocument &document)
-{
-    return pack(DocumentWire{core::number(document.version), document.submissionId, document.author,
-                             document.text});
-}
-
 std::string encodePeer(const ForwardedCall &forwarded)
 {
     const core::Call &call = forwarded.call;
@@ -124,32 +95,6 @@
                                answer.durable});
 }
 
-core::Result<core::Announcement> decodeAnnouncement(const std::string &bytes)
-{
-    auto wire = unpack<AnnouncementWire>(bytes);
-    if (!wire)
-        return wire.error();
-    const auto &[sender, version, nodes] = wire.value();
-    core::Announcement announcement{fromWire(sender), core::ConfigurationVersion{version}, {}};
-    for (const NodeWire &node : nodes)
-        announcement.nodes.push_back(fromWire(node));
-    return announcement;
-}
-
-core::Result<core::ConfigurationDocument> decodeDocument(const std::string &bytes)
-{
-    auto wire = unpack<DocumentWire>(bytes);
-    if (!wire)
-        return wire.error();
-    const auto &[version, submissionId, author, text] = wire.value();
-    ParsedConfiguration parsed = parseConfiguration(text);
-    if (!parsed.problems.empty())
-        return make_error_code(Errc::WrongShape);
-    return core::ConfigurationDocument{
-            core::ConfigurationVersion{version}, submissionId, author, text,
-            std::make_shared<const core::Configuration>(std::move(parsed.configuration))};
-}
-
 core::Result<ForwardedCall> decodeForwardedCall(const std::string &bytes)
 {
     auto wire = unpack<CallWire>(bytes);
--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -24,6 +24,8 @@
     std::string method;
     std::string pathPrefix;
     bool repeatable = false;
+
+    auto operator<=>(const CallRule &) const = default;
 };
 
 /// What becomes of a call that may not be repeated and carries no idempotency key.
@@ -44,6 +46,8 @@
     std::uint32_t minServingPercent = 75; ///< Engines that serve while others swap weights.
     std::uint32_t weightLoadsAtOnce = 4; ///< Loads that the weight store serves at a time.
     bool checksFencing = false; ///< Its engines refuse orders with an old fencing number.
+
+    auto operator<=>(const Service &) const = default;
 };
 
 struct Trainer
@@ -53,6 +57,8 @@
     ServiceName scorer;
     std::uint32_t weight = 1; ///< Share of the engines relative to other trainers.
     std::uint64_t stalenessBound = 1; ///< Versions that a sample may lag behind at hand-over.
+
+    auto operator<=>(const Trainer &) const = default;
 };
 
 struct Configuration
@@ -80,6 +86,23 @@
     std::string allowed;
 };
 
+enum class ChangeKind { Added, Removed, Changed };
+enum class ConfigurationPart { Service, Trainer };
+
+/// One service or trainer in which two configurations differ.
+struct ConfigurationChange
+{
+    ConfigurationPart part = ConfigurationPart::Service;
+    ChangeKind kind = ChangeKind::Changed;
+    std::string name;
+
+    auto operator<=>(const ConfigurationChange &) const = default;
+};
+
+/// \return what has to change to get from one configuration to the other, by part and name.
+/// Complexity: linear in services and trainers, times a logarithm.
+std::vector<ConfigurationChange> difference(const Configuration &from, const Configuration &to);
+
 /// Checks a configuration as a whole: names, references, dependency cycles, limits.
 /// \return all problems, empty when the configuration may be submitted.
 /// Complexity: linear in services, trainers and dependencies, times a logarithm.
