Route by own counts, queue fairly, retry in a budget, stop gracefully

Cause: a node took the least loaded target by its own count but sent it through the target's owner; a target that failed at once attracted all calls; a full target refused calls; SIGTERM cut off what ran.

SIGTERM: not ready, new calls refused, running ones finish within drain_limit_ms, shards handed over, exit 0; a second signal exits at once with 1. The door reads a body only when the sum of all bodies has room, and echoes X-Request-Id.

The demo books with a key through both nodes and compares answers and ledgers.

--- a/packages/codec/include/geraniumpulley/codec/target_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/target_messages.hpp
@@ -23,6 +23,7 @@
 core::Result<double> decodeScore(const std::string &body);
 
 /// \return the JSON body of an answer that the system itself gives, with outcome and reason.
-std::string encodeRefusal(const core::CallAnswer &answer);
+/// \param detail for humans; left out when empty.
+std::string encodeRefusal(const core::CallAnswer &answer, const std::string &detail = {});
 
 } // namespace geraniumpulley::codec
--- a/packages/codec/src/configuration_text.cpp
+++ b/packages/codec/src/configuration_text.cpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumpulley::codec {
@@ -39,6 +40,7 @@
     rule.method = reader.readString("method");
     rule.pathPrefix = reader.readString("path");
     rule.repeatable = reader.readBool("repeatable");
+    rule.priority = static_cast<std::uint32_t>(reader.readNumber("priority", {0, 100}, 0));
     return rule;
 }
 
@@ -55,6 +57,11 @@
             reader.readNumber("max_in_flight", {1, 100'000}, service.maxInFlight));
     service.timeout = reader.readMilliseconds("timeout_ms", shortestTimeout, service.timeout);
     service.withoutKey = readWithoutKey(reader);
+    service.maxQueued = static_cast<std::uint32_t>(
+            reader.readNumber("max_queued", {0, 100'000}, service.maxQueued));
+    const std::uint64_t reserve = std::min(service.callReserve, service.maxInFlight - 1);
+    service.callReserve =
+            static_cast<std::uint32_t>(reader.readNumber("call_reserve", {0, 100'000}, reserve));
     return service;
 }
 
--- a/packages/codec/src/target_messages.cpp
+++ b/packages/codec/src/target_messages.cpp
@@ -105,11 +105,13 @@
     return reward;
 }
 
-std::string encodeRefusal(const core::CallAnswer &answer)
+std::string encodeRefusal(const core::CallAnswer &answer, const std::string &detail)
 {
     value body = value::object();
     body["outcome"] = value::string(std::string(core::nameOf(answer.outcome)));
     body["reason"] = value::string(std::string(core::nameOf(answer.reason)));
+    if (!detail.empty())
+        body["detail"] = value::string(detail);
     return body.serialize();
 }
 
--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -24,6 +24,7 @@
     std::string method;
     std::string pathPrefix;
     bool repeatable = false;
+    std::uint32_t priority = 0; ///< Higher is served first, lower is shed first.
 };
 
 /// What becomes of a call that may not be repeated and carries no idempotency key.
@@ -41,6 +42,8 @@
     std::uint32_t maxInFlight = 32; ///< Requests at one target at a time.
     Duration timeout = std::chrono::seconds(5); ///< Used where a caller names no deadline.
     WithoutKey withoutKey = WithoutKey::Refuse;
+    std::uint32_t maxQueued = 256; ///< Calls that wait at one node for a target.
+    std::uint32_t callReserve = 2; ///< Of `maxInFlight`, what rollouts leave free for calls.
 };
 
 struct Trainer
@@ -85,6 +88,10 @@
 /// \return the service of that name, or null. Complexity: linear in services.
 const Service *findService(const Configuration &configuration, const ServiceName &name);
 
+/// \return the priority of a call; 0 when no rule matches.
+std::uint32_t priorityOf(const Service &service, const std::string &method,
+                         const std::string &path);
+
 /// \return whether the service's rules allow this call to run more than once.
 bool isRepeatable(const Service &service, const std::string &method, const std::string &path);
 
--- a/packages/core/include/geraniumpulley/core/dispatch.hpp
+++ b/packages/core/include/geraniumpulley/core/dispatch.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <geraniumpulley/core/admission.hpp>
 #include <geraniumpulley/core/call.hpp>
 #include <geraniumpulley/core/claims.hpp>
 #include <geraniumpulley/core/configuration.hpp>
 #include <geraniumpulley/core/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/retry_budget.hpp>
+#include <geraniumpulley/core/routing.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
@@ -158,6 +161,7 @@
 {
     CallAttempt attempt;
     std::uint32_t tries = 1;
+    std::uint32_t priority = 0; ///< Set while it is queued.
     std::optional<TargetId> target; ///< Nothing while the holder of the claim's shard has it.
     std::optional<ClaimedCall> claim; ///< Set where a claim of this node is sent.
     NodeId holder; ///< That the call was forwarded to, where it has no target.
@@ -174,6 +178,12 @@
     std::map<TargetId, std::uint32_t> load; ///< Calls of this node at each target.
     OperationId nextOperation{1};
     ClaimState claims;
+    std::map<TargetId, TargetHealth> health;
+    HealthSettings healthSettings;
+    RetryBudget retryBudget;
+    RandomSource random;
+    std::map<ServiceName, AdmissionQueue> queues; ///< Calls that wait for a target.
+    std::map<OperationId, CallInFlight> queued;
     bool draining = false;
     bool drained = false;
 };
--- a/packages/core/src/configuration.cpp
+++ b/packages/core/src/configuration.cpp
@@ -38,6 +38,9 @@
         const Service &service = configuration.services[i];
         if (service.maxInFlight == 0)
             problems.push_back({servicePlace(i, "max_in_flight"), "is 0", "1 or more"});
+        if (service.kind == ServiceKind::Model && service.callReserve >= service.maxInFlight)
+            problems.push_back({servicePlace(i, "call_reserve"), "leaves rollouts nothing",
+                                "less than max_in_flight"});
         if (service.timeout <= Duration::zero())
             problems.push_back({servicePlace(i, "timeout_ms"), "is not positive", "1 or more"});
     }
@@ -118,6 +121,15 @@
     }
 }
 
+const CallRule *findRule(const Service &service, const std::string &method, const std::string &path)
+{
+    const auto rule = std::find_if(
+            service.calls.begin(), service.calls.end(), [&](const CallRule &candidate) {
+                return candidate.method == method && path.starts_with(candidate.pathPrefix);
+            });
+    return rule == service.calls.end() ? nullptr : &*rule;
+}
+
 } // namespace
 
 std::vector<ConfigurationProblem> validate(const Configuration &configuration)
@@ -140,13 +152,16 @@
     return found == configuration.services.end() ? nullptr : &*found;
 }
 
+std::uint32_t priorityOf(const Service &service, const std::string &method, const std::string &path)
+{
+    const CallRule *rule = findRule(service, method, path);
+    return rule == nullptr ? 0 : rule->priority;
+}
+
 bool isRepeatable(const Service &service, const std::string &method, const std::string &path)
 {
-    const auto rule = std::find_if(
-            service.calls.begin(), service.calls.end(), [&](const CallRule &candidate) {
-                return candidate.method == method && path.starts_with(candidate.pathPrefix);
-            });
-    return rule != service.calls.end() && rule->repeatable;
+    const CallRule *rule = findRule(service, method, path);
+    return rule != nullptr && rule->repeatable;
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/dispatch.cpp
+++ b/packages/core/src/dispatch.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint32_t maxTries = 3;
+constexpr std::size_t subsetSize = 32; // targets of a service that one node uses
+constexpr std::uint32_t firstServerError = 500; // HTTP status
 
 using Actions = std::vector<DispatchAction>;
 using InFlight = std::map<OperationId, CallInFlight>::iterator;
@@ -31,14 +33,18 @@
         if (position == this->state.inFlight.end())
             return;
         const CallInFlight call = this->release(position);
+        this->noteResult(call, event.status < firstServerError);
         const CallAnswer answer{Outcome::Ran, Reason::Served, event.status, event.contentType,
                                 event.body};
-        if (!call.claim)
-            return this->answer(call.attempt, answer);
-        ClaimActions claimActions;
-        claimAnswered(this->state.claims, call.claim->shard, call.claim->identity, answer,
-                      this->now, claimActions);
-        this->perform(std::move(claimActions));
+        if (!call.claim) {
+            this->answer(call.attempt, answer);
+        } else {
+            ClaimActions claimActions;
+            claimAnswered(this->state.claims, call.claim->shard, call.claim->identity, answer,
+                          this->now, claimActions);
+            this->perform(std::move(claimActions));
+        }
+        this->serveQueue(call.attempt.call.service);
     }
 
     void operator()(const AttemptFailed &event)
@@ -47,11 +53,15 @@
         if (position == this->state.inFlight.end())
             return;
         CallInFlight call = this->release(position);
-        if (event.failure == AttemptFailure::Lost) {
-            const bool atTarget = call.target.has_value();
-            return this->answerLostCall(call, atTarget ? Reason::AnswerLost : Reason::PeerLost);
-        }
-        this->tryAgain(std::move(call), Reason::ConnectFailed);
+        this->noteResult(call, false);
+        const ServiceName service = call.attempt.call.service;
+        if (event.failure == AttemptFailure::NotSent)
+            this->tryAgain(std::move(call), Reason::ConnectFailed);
+        else if (call.target && !call.claim && this->canTryAgain(call))
+            this->place(std::move(call)); // Only repeatable calls reach a target without a claim.
+        else
+            this->answerLostCall(call, call.target ? Reason::AnswerLost : Reason::PeerLost);
+        this->serveQueue(service);
     }
 
     void operator()(const PeerAnswered &event)
@@ -131,6 +141,9 @@
         tickClaims(this->state.claims, event.wallNow, this->state.nextOperation, this->now,
                    claimActions);
         this->perform(std::move(claimActions));
+        this->expireQueued();
+        for (const auto &[service, queue] : this->state.queues)
+            this->serveQueue(service);
     }
 
     void operator()(const DispatchDraining &) { this->state.draining = true; }
@@ -167,7 +180,9 @@
     void route(CallInFlight call)
     {
         const CallAttempt &attempt = call.attempt;
-        if (this->state.draining && call.tries == 1)
+        // As long as it holds shards, other nodes' claims still come here.
+        const bool refuses = attempt.forwarded ? this->state.drained : this->state.draining;
+        if (refuses && call.tries == 1)
             return this->refuse(attempt, Reason::Draining);
         if (!this->state.configuration || !this->state.view)
             return this->refuse(attempt, Reason::NotReady);
@@ -238,27 +253,49 @@
         const Service *service = findService(*this->state.configuration, call.attempt.call.service);
         if (service == nullptr)
             return this->giveUp(call, Reason::UnknownService);
-        const Target *target = this->chooseTarget(*service);
-        if (target == nullptr)
+        const std::vector<Candidate> candidates = this->candidatesOf(*service);
+        if (candidates.empty())
             return this->giveUp(call, Reason::NoTarget);
-        this->send(std::move(call), *target);
+        if (const Target *target = this->chooseTarget(*service, candidates))
+            return this->send(std::move(call), *target);
+        this->wait(std::move(call), *service);
     }
 
-    // The least loaded target by this node's own count, which does not lag as reports do.
-    const Target *chooseTarget(const Service &service)
+    // Each node uses a subset of many targets, which it then knows well by its own counts.
+    std::vector<Candidate> candidatesOf(const Service &service)
     {
-        const Target *best = nullptr;
-        std::uint32_t bestLoad = service.maxInFlight;
+        std::vector<Candidate> candidates;
         for (const Target &target : this->state.view->targets) {
             if (target.service != service.name || target.leaving)
                 continue;
-            const std::uint32_t load = this->state.load[target.id];
-            if (load < bestLoad) {
-                best = &target;
-                bestLoad = load;
-            }
+            const bool usable = isUsable(this->state.health[target.id], this->now);
+            candidates.push_back({&target, this->state.load[target.id], 0, usable});
         }
-        return best;
+        const auto &nodes = this->state.view->nodes;
+        const auto seat = std::count_if(nodes.begin(), nodes.end(), [this](const Node &node) {
+            return node.id < this->state.self;
+        });
+        return subsetOf(candidates, static_cast<std::size_t>(seat), subsetSize);
+    }
+
+    const Target *chooseTarget(const Service &service, const std::vector<Candidate> &candidates)
+    {
+        return chooseByOwnCount(candidates, this->limitOf(service), this->state.random);
+    }
+
+    // This node's share of what one target may have in flight from all nodes.
+    std::uint32_t limitOf(const Service &service) const
+    {
+        const auto &targets = this->state.view->targets;
+        const auto count = static_cast<std::size_t>(
+                std::count_if(targets.begin(), targets.end(), [&](const Target &target) {
+                    return target.service == service.name;
+                }));
+        const std::size_t nodes = std::max<std::size_t>(this->state.view->nodes.size(), 1);
+        const std::size_t nodesAtTarget =
+                (nodes * std::min(subsetSize, count) + count - 1) / std::max<std::size_t>(count, 1);
+        const std::size_t sharers = std::max<std::size_t>(nodesAtTarget, 1);
+        return static_cast<std::uint32_t>((service.maxInFlight + sharers - 1) / sharers);
     }
 
     void send(CallInFlight call, const Target &target)
@@ -266,24 +303,98 @@
         const OperationId operation = this->takeOperation();
         call.target = target.id;
         ++this->state.load[target.id];
-        const CallAttempt &attempt = call.attempt;
-        const Node *owner = ownerOf(target, this->state.view->nodes);
-        const bool isLocal = call.claim || attempt.forwarded || call.tries > 1 || owner == nullptr
-                             || owner->id == this->state.self;
-        if (isLocal)
-            this->actions.push_back(
-                    SendToTarget{operation, target, attempt.call, attempt.deadline});
-        else
-            this->actions.push_back(ForwardCall{operation, *owner, attempt.call, attempt.deadline});
+        noteSent(this->state.health[target.id], this->now);
+        if (call.tries == 1)
+            noteCall(this->state.retryBudget);
+        this->actions.push_back(
+                SendToTarget{operation, target, call.attempt.call, call.attempt.deadline});
         this->state.inFlight.emplace(operation, std::move(call));
     }
 
+    void noteResult(const CallInFlight &call, bool succeeded)
+    {
+        if (!call.target)
+            return;
+        TargetHealth &health = this->state.health[*call.target];
+        // A caller's short deadline tells nothing about the target.
+        if (succeeded)
+            noteSuccess(health);
+        else if (call.attempt.deadline <= this->now)
+            noteAbandoned(health);
+        else
+            noteFailure(health, this->state.healthSettings, this->now);
+    }
+
+    void wait(CallInFlight call, const Service &service)
+    {
+        const OperationId operation = this->takeOperation();
+        const std::string customer = call.attempt.call.customer;
+        const std::uint32_t priority =
+                priorityOf(service, call.attempt.call.method, call.attempt.call.path);
+        call.priority = priority;
+        this->state.queued.emplace(operation, std::move(call));
+        const auto shed = enqueue(this->state.queues[service.name], customer, priority, operation,
+                                  service.maxQueued);
+        if (shed)
+            this->giveUp(this->takeQueued(*shed), Reason::QueueFull);
+    }
+
+    CallInFlight takeQueued(OperationId operation)
+    {
+        const auto position = this->state.queued.find(operation);
+        CallInFlight call = std::move(position->second);
+        this->state.queued.erase(position);
+        return call;
+    }
+
+    // Sends waiting calls for as long as a target has room.
+    void serveQueue(const ServiceName &name)
+    {
+        const auto queue = this->state.queues.find(name);
+        if (queue == this->state.queues.end())
+            return;
+        const Service *service = findService(*this->state.configuration, name);
+        while (queue->second.size > 0) {
+            if (service != nullptr) {
+                const std::vector<Candidate> candidates = this->candidatesOf(*service);
+                if (!candidates.empty() && this->chooseTarget(*service, candidates) == nullptr)
+                    return;
+            }
+            this->place(this->takeQueued(*dequeue(queue->second)));
+        }
+    }
+
+    void expireQueued()
+    {
+        std::vector<OperationId> late;
+        for (const auto &[operation, call] : this->state.queued) {
+            if (call.attempt.deadline <= this->now)
+                late.push_back(operation);
+        }
+        for (const OperationId operation : late) {
+            const CallInFlight call = this->takeQueued(operation);
+            const Call &content = call.attempt.call;
+            removeQueued(this->state.queues[content.service], content.customer, call.priority,
+                         operation);
+            this->giveUp(call, Reason::DeadlinePassed);
+        }
+    }
+
+    // Retries are a share of the calls, so that an outage of targets is not multiplied.
+    bool canTryAgain(CallInFlight &call)
+    {
+        if (call.tries == maxTries || call.attempt.deadline <= this->now
+            || !takeRetry(this->state.retryBudget))
+            return false;
+        ++call.tries;
+        return true;
+    }
+
     // Only after an attempt that provably did not run.
     void tryAgain(CallInFlight call, Reason reason)
     {
-        if (call.tries == maxTries)
+        if (!this->canTryAgain(call))
             return this->giveUp(call, reason);
-        ++call.tries;
         if (call.target)
             this->place(std::move(call));
         else
@@ -370,7 +481,8 @@
 {
     Handler handler{state, now, {}};
     std::visit(handler, event);
-    if (state.draining && !state.drained && state.inFlight.empty() && isIdle(state.claims)) {
+    if (state.draining && !state.drained && state.inFlight.empty() && state.queued.empty()
+        && isIdle(state.claims)) {
         state.drained = true;
         handler.actions.push_back(DispatchDrained{});
     }
--- /dev/null
+++ b/packages/core/src/target_health.cpp
@@ -0,0 +1,56 @@
+#include <geraniumpulley/core/target_health.hpp>
+
+#include <algorithm>
+
+namespace geraniumpulley::core {
+namespace {
+
+constexpr std::uint32_t highestDoubling = 10;
+
+bool isEjected(const TargetHealth &health)
+{
+    return health.ejections > 0;
+}
+
+} // namespace
+
+bool isUsable(const TargetHealth &health, Time now)
+{
+    return !isEjected(health) || (now >= health.ejectedUntil && !health.probing);
+}
+
+bool noteSent(TargetHealth &health, Time now)
+{
+    if (!isEjected(health) || now < health.ejectedUntil)
+        return false;
+    health.probing = true;
+    return true;
+}
+
+void noteSuccess(TargetHealth &health)
+{
+    health = {};
+}
+
+void noteFailure(TargetHealth &health, const HealthSettings &settings, Time now)
+{
+    const bool probeFailed = health.probing;
+    health.probing = false;
+    ++health.failures;
+    // Calls that were under way when the target was ejected do not eject it again.
+    const bool ejects =
+            isEjected(health) ? probeFailed : health.failures >= settings.failuresToEject;
+    if (!ejects)
+        return;
+    const std::uint32_t doublings = std::min(health.ejections, highestDoubling);
+    ++health.ejections;
+    health.ejectedUntil =
+            now + std::min(settings.firstEjection * (1U << doublings), settings.longestEjection);
+}
+
+void noteAbandoned(TargetHealth &health)
+{
+    health.probing = false;
+}
+
+} // namespace geraniumpulley::core
--- a/packages/core/tests/unit-dispatch.cpp
+++ b/packages/core/tests/unit-dispatch.cpp
@@ -45,14 +45,32 @@
     CHECK(state.inFlight.empty());
 }
 
-TEST_CASE("a lost answer is unknown and is not tried again")
+TEST_CASE("a lost answer of a call that may not be repeated is unknown and is not tried again")
 {
     DispatchState state = makeReadyState();
-    const auto sent = step(state, makeCall("orders"), start);
-    const auto &send = std::get<SendToTarget>(sent.at(0));
+    step(state, DispatchTick{WallTime(1'700'000'000s)}, start);
+    CallReceived book = makeCall("orders");
+    book.call.method = "POST";
+    book.call.idempotencyKey = "1700000000-a1b2c3d4";
+    const Shard shard = claimShardOf(*claimKeyOf(book.call));
+    auto leases = std::make_shared<LeaseTable>();
+    leases->self = nodeA.id;
+    leases->leases[shard] = {nodeA.id, FencingNumber{1}, start + 1h};
+    const auto loading = step(state, DispatchLeasesChanged{leases}, start);
+    const OperationId load = std::get<LoadClaims>(loading.at(0)).operation;
+    CHECK(step(state, ClaimsLoaded{load, shard, {}}, start).empty());
+    const auto claimed = step(state, book, start);
+    REQUIRE(claimed.size() == 1);
+    const OperationId commit = std::get<CommitClaims>(claimed[0]).operation;
+    const auto sent = step(state, ClaimsCommitted{commit}, start);
+    REQUIRE(sent.size() == 1);
+    const auto &send = std::get<SendToTarget>(sent[0]);
     const auto actions = step(state, AttemptFailed{send.operation, AttemptFailure::Lost}, start);
     REQUIRE(actions.size() == 1);
     CHECK(std::get<AnswerCall>(actions[0]).answer.outcome == Outcome::Unknown);
+    const auto retried = step(state, book, start);
+    REQUIRE(retried.size() == 1);
+    CHECK(std::get<AnswerCall>(retried[0]).answer.outcome == Outcome::Unknown);
 }
 
 TEST_CASE("a call past its deadline is not started")
@@ -73,3 +91,89 @@
     const auto actions = step(state, makeCall("orders"), start);
     CHECK(std::get<AnswerCall>(actions.at(0)).answer.reason == Reason::NoTarget);
 }
+
+TEST_CASE("a lost answer of a repeatable call is tried once more within the retry budget")
+{
+    DispatchState state = makeReadyState();
+    for (const std::uint32_t saved : {1000U, 0U}) {
+        state.retryBudget.saved = saved;
+        state.retryBudget.percent = 0;
+        const auto sent = step(state, makeCall("orders"), start);
+        const auto &send = std::get<SendToTarget>(sent.at(0));
+        const auto actions =
+                step(state, AttemptFailed{send.operation, AttemptFailure::Lost}, start);
+        REQUIRE(actions.size() == 1);
+        CHECK(std::holds_alternative<SendToTarget>(actions[0]) == (saved > 0));
+        step(state,
+             TargetAnswered{state.inFlight.empty() ? OperationId{} : state.inFlight.begin()->first,
+                            200, "", ""},
+             start);
+    }
+}
+
+TEST_CASE("calls wait for room, customers take turns, and a late one is not started")
+{
+    DispatchState state = makeReadyState();
+    const auto receive = [&](std::uint64_t reply, const char *customer, Duration timeLeft) {
+        CallReceived event = makeCall("orders");
+        event.reply = ReplyToken{reply};
+        event.call.customer = customer;
+        event.deadline = start + timeLeft;
+        return step(state, event, start);
+    };
+    std::vector<OperationId> running;
+    for (std::uint64_t reply = 1; reply <= 2; ++reply)
+        running.push_back(std::get<SendToTarget>(receive(reply, "busy", 9s).at(0)).operation);
+    for (std::uint64_t reply = 3; reply <= 9; ++reply)
+        CHECK(receive(reply, "busy", 9s).empty());
+    CHECK(receive(10, "quiet", 9s).empty());
+    CHECK(receive(11, "quiet", 1s).empty());
+    const auto late = step(state, DispatchTick{}, start + 2s);
+    REQUIRE(late.size() == 1);
+    CHECK(std::get<AnswerCall>(late[0]).reply == ReplyToken{11});
+    CHECK(std::get<AnswerCall>(late[0]).answer.reason == Reason::DeadlinePassed);
+    std::string order;
+    for (const OperationId operation : running) {
+        const auto actions = step(state, TargetAnswered{operation, 200, "", ""}, start + 2s);
+        order += std::get<SendToTarget>(actions.at(1)).call.customer + " ";
+    }
+    CHECK(order == "busy quiet ");
+}
+
+TEST_CASE("a target that fails at once is ejected and probed later")
+{
+    DispatchState state = makeReadyState();
+    auto view = std::make_shared<View>(*state.view);
+    view->targets.push_back(Target{{"t2"}, {"orders"}, "127.0.0.1:8", "bilbao", false});
+    step(state, DispatchViewChanged{view}, start);
+    std::uint32_t failed = 0;
+    const auto run = [&](Time now) {
+        CallReceived event = makeCall("orders");
+        event.deadline = now + 1s;
+        const auto sent = step(state, event, now);
+        const auto &send = std::get<SendToTarget>(sent.at(0));
+        const bool fails = send.target.id.value == "t1";
+        failed += fails ? 1 : 0;
+        step(state, TargetAnswered{send.operation, fails ? 500U : 200U, "", ""}, now);
+    };
+    for (int i = 0; i < 100; ++i)
+        run(start);
+    CHECK(failed == 3);
+    for (int i = 0; i < 100; ++i)
+        run(start + 2s);
+    CHECK(failed == 4);
+}
+
+TEST_CASE("a draining node refuses new calls truthfully and says when all is done")
+{
+    DispatchState state = makeReadyState();
+    const auto sent = step(state, makeCall("orders"), start);
+    CHECK(step(state, DispatchDraining{}, start).empty());
+    const auto refused = step(state, makeCall("orders"), start);
+    CHECK(std::get<AnswerCall>(refused.at(0)).answer.reason == Reason::Draining);
+    CHECK(std::get<AnswerCall>(refused.at(0)).answer.outcome == Outcome::NotRun);
+    const OperationId operation = std::get<SendToTarget>(sent.at(0)).operation;
+    const auto done = step(state, TargetAnswered{operation, 200, "", ""}, start);
+    REQUIRE(done.size() == 2);
+    CHECK(std::holds_alternative<DispatchDrained>(done[1]));
+}
--- a/packages/net/include/geraniumpulley/net/http_door.hpp
+++ b/packages/net/include/geraniumpulley/net/http_door.hpp
@@ -57,6 +57,7 @@
     std::size_t maxConnections = 1024;
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxBufferedBytes = 32 * 1024 * 1024; ///< Bodies of all connections together.
     core::Duration readTimeout = std::chrono::seconds(10);
     core::Duration writeTimeout = std::chrono::seconds(10);
 };
@@ -88,6 +89,10 @@
     /// has room for every request that was taken. An unknown token is ignored.
     void answer(DoorAnswer &&answer);
 
+    /// Waits until no request that was taken is without its written answer.
+    /// \return false when that lasts longer than `limit`.
+    bool waitUntilWritten(core::Duration limit);
+
 private:
     struct Implementation;
     explicit HttpDoor(std::unique_ptr<Implementation> implementation);
--- a/packages/net/src/http_door.cpp
+++ b/packages/net/src/http_door.cpp
@@ -25,6 +25,7 @@
 // A reader slower than its answer by this many parts is cut off, which bounds memory.
 constexpr std::size_t maxWaitingParts = 1024;
 
+constexpr const char *requestIdHeader = "X-Request-Id";
 constexpr const char *queueFullBody = R"({"outcome":"not_run","reason":"queue_full"})";
 
 } // namespace
@@ -70,11 +71,25 @@
     void accept();
     void answer(DoorAnswer &&answer);
 
+    // A request was taken, or its answer was written or given up.
+    void noteOwed(bool owed)
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->owedAnswers += owed ? 1 : -1;
+        }
+        this->settled.notify_all();
+    }
+
     DoorSettings settings;
     RequestHandler handler;
+    std::mutex mutex;
+    std::condition_variable settled;
+    int owedAnswers = 0; // Guarded by the mutex.
+    std::size_t connections = 0; // Used on the loop's thread, as all below.
+    std::size_t bufferedBytes = 0; // Of bodies that are read or not yet answered.
     detail::EventLoop<DoorAnswer> loop;
     Tcp::acceptor acceptor;
-    std::size_t connections = 0; // Used on the loop's thread, as all below.
     core::ReplyToken nextToken{1};
     std::map<core::ReplyToken, std::shared_ptr<Session>> waiting;
 };
@@ -89,7 +104,11 @@
         buffer.max_size(door.settings.maxHeaderBytes + door.settings.maxBodyBytes);
     }
 
-    ~Session() { --this->door.connections; }
+    ~Session()
+    {
+        this->settle();
+        --this->door.connections;
+    }
 
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
@@ -100,10 +119,11 @@
         this->parser->header_limit(static_cast<std::uint32_t>(this->door.settings.maxHeaderBytes));
         this->parser->body_limit(this->door.settings.maxBodyBytes);
         this->stream.expires_after(this->door.settings.readTimeout);
-        http::async_read(this->stream, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                             self->onRead(error);
-                         });
+        http::async_read_header(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    self->onHeader(error);
+                });
     }
 
     void write(DoorAnswer &&answer)
@@ -116,6 +136,8 @@
         this->response.set(http::field::content_type, answer.contentType);
         for (const HttpHeader &header : answer.headers)
             this->response.set(header.name, header.value);
+        if (!this->requestId.empty())
+            this->response.set(requestIdHeader, this->requestId);
         this->response.body() = std::move(answer.body);
         this->response.keep_alive(this->keepAlive);
         this->response.prepare_payload();
@@ -167,6 +189,8 @@
         header.set(http::field::content_type, part.contentType);
         for (const HttpHeader &field : part.headers)
             header.set(field.name, field.value);
+        if (!this->requestId.empty())
+            header.set(requestIdHeader, this->requestId);
         header.keep_alive(this->keepAlive);
         header.chunked(true);
         std::ostringstream text;
@@ -187,6 +211,30 @@
             this->writeNextPart();
     }
 
+    // The whole door's bodies are bounded, so a body is only read when there is room for it.
+    void onHeader(beast::error_code error)
+    {
+        this->requestId.clear();
+        if (error)
+            return this->onRead(error);
+        this->requestId = std::string(this->parser->get()[requestIdHeader]);
+        const std::size_t bytes =
+                this->parser->chunked()
+                        ? this->door.settings.maxBodyBytes
+                        : static_cast<std::size_t>(this->parser->content_length().value_or(0));
+        if (bytes > this->door.settings.maxBodyBytes)
+            return this->refuse(413, "body_too_large");
+        if (this->door.bufferedBytes + bytes > this->door.settings.maxBufferedBytes)
+            return this->refuse(503, "queue_full");
+        this->reservedBytes = bytes;
+        this->door.bufferedBytes += bytes;
+        http::async_read(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code readError, std::size_t) {
+                    self->onRead(readError);
+                });
+    }
+
     void onRead(beast::error_code error)
     {
         if (error == http::error::body_limit)
@@ -220,6 +268,8 @@
         this->stream.expires_never();
         const core::ReplyToken token = request.token;
         this->door.waiting.emplace(token, this->shared_from_this());
+        this->owesAnswer = true;
+        this->door.noteOwed(true);
         if (this->door.handler(std::move(request)))
             return;
         this->door.waiting.erase(token);
@@ -231,11 +281,24 @@
         this->keepAlive = false;
         const std::string body =
                 std::string(R"({"outcome":"not_run","reason":")") + reason + R"("})";
-        this->write({core::ReplyToken{}, status, "application/json", {}, body, false});
+        this->write({core::ReplyToken{},
+                     status,
+                     "application/json",
+                     {{"X-Outcome", "not_run"}, {"X-Reason", reason}},
+                     body,
+                     false});
+    }
+
+    void settle()
+    {
+        this->door.bufferedBytes -= std::exchange(this->reservedBytes, 0);
+        if (std::exchange(this->owesAnswer, false))
+            this->door.noteOwed(false);
     }
 
     void onWritten(beast::error_code error)
     {
+        this->settle();
         if (error || !this->keepAlive)
             return this->close();
         this->read();
@@ -255,6 +318,9 @@
     http::response<http::string_body> response;
     std::deque<DoorAnswer> parts; // Of an answer in chunks; the first one is being written.
     std::string chunk;
+    std::string requestId; // Echoed, so that the caller can match the answer.
+    std::size_t reservedBytes = 0;
+    bool owesAnswer = false;
     bool keepAlive = false;
 };
 
@@ -316,4 +382,11 @@
     this->implementation->loop.inbox().push(std::move(answer));
 }
 
+bool HttpDoor::waitUntilWritten(core::Duration limit)
+{
+    Implementation &door = *this->implementation;
+    std::unique_lock lock(door.mutex);
+    return door.settled.wait_for(lock, limit, [&door] { return door.owedAnswers == 0; });
+}
+
 } // namespace geraniumpulley::net
--- a/packages/node/include/geraniumpulley/node/daemon.hpp
+++ b/packages/node/include/geraniumpulley/node/daemon.hpp
@@ -16,6 +16,11 @@
     static core::Result<std::unique_ptr<Daemon>> create(const Settings &settings);
     ~Daemon();
 
+    /// Stops gracefully: the node is not ready from now on, refuses new calls and waits for the
+    /// running ones, at most for the settings' drain limit. Call it once.
+    /// \return whether all calls were finished in time.
+    bool drain();
+
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
--- a/packages/node/src/caller_routes.cpp
+++ b/packages/node/src/caller_routes.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_duty.hpp"
 #include "routes.hpp"
 
+#include <geraniumpulley/codec/target_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -31,12 +32,21 @@
 
 bool refuse(Parts &parts, core::ReplyToken token, std::uint32_t status, const std::string &detail)
 {
-    net::DoorAnswer answer;
-    answer.token = token;
+    core::CallAnswer answer = core::answerNotRun(core::Reason::BadRequest);
     answer.status = status;
-    answer.headers = {{"X-Outcome", "not_run"}, {"X-Reason", "bad_request"}};
-    answer.body = R"({"outcome":"not_run","reason":"bad_request","detail":")" + detail + R"("})";
-    parts.callers->answer(std::move(answer));
+    net::DoorAnswer door = toDoorAnswer(token, answer);
+    door.body = codec::encodeRefusal(answer, detail);
+    parts.callers->answer(std::move(door));
+    return true;
+}
+
+// A full ring refuses this attempt; other attempts of the request may still have run.
+bool refuseFull(Parts &parts, const core::CallReceived &event)
+{
+    const core::CallAttempt attempt{event.reply, event.call, event.deadline, false};
+    const core::CallAnswer answer =
+            core::refuseAttempt(attempt, false, core::Reason::QueueFull, runtime::now());
+    parts.callers->answer(toDoorAnswer(event.reply, answer));
     return true;
 }
 
@@ -65,7 +75,9 @@
     event.call.contentType = net::findHeader(request.headers, "Content-Type");
     event.call.body = std::move(request.body);
     event.deadline = runtime::now() + timeout;
-    return parts.dispatch.inbox().tryPush(std::move(event));
+    if (!parts.dispatch.inbox().tryPush(std::move(event)))
+        return refuseFull(parts, event); // NOLINT(bugprone-use-after-move): unchanged when refused
+    return true;
 }
 
 std::optional<core::StepRequest> parseStepPath(const std::string &method, std::string_view path)
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -23,8 +23,9 @@
 
 using runtime::field;
 
-constexpr core::Duration releaseLimit = std::chrono::seconds(3);
+constexpr core::Duration lastAnswersLimit = std::chrono::seconds(2);
 constexpr core::Duration dispatchPeriod = std::chrono::milliseconds(10);
+constexpr core::Duration releaseLimit = std::chrono::seconds(3);
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
 
 // "127.0.0.1:0" with the port that the system chose.
@@ -169,6 +170,19 @@
 
 Daemon::~Daemon() = default;
 
+bool Daemon::drain()
+{
+    Parts &parts = this->implementation->parts;
+    parts.draining = true;
+    parts.logger.write("draining");
+    parts.dispatch.inbox().push(core::DispatchDraining{});
+    const bool inTime = parts.callsDrained.waitFor(this->implementation->settings.drainLimit);
+    // Answers that are decided still have to leave.
+    const bool written = parts.callers->waitUntilWritten(lastAnswersLimit);
+    parts.logger.write("drained", field("in_time", inTime && written));
+    return inTime && written;
+}
+
 core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
 {
     auto implementation = std::make_unique<Implementation>(settings);
--- a/packages/node/src/dispatch_duty.cpp
+++ b/packages/node/src/dispatch_duty.cpp
@@ -157,7 +157,11 @@
         return core::ClaimsLoaded{load.operation, load.shard, std::move(rows.value())};
     }
 
-    void perform(core::DispatchDrained &&) { this->parts.logger.write("calls_drained"); }
+    void perform(core::DispatchDrained &&)
+    {
+        this->parts.logger.write("calls_drained");
+        this->parts.callsDrained.set();
+    }
 
     void push(core::DispatchEvent event) { this->parts.dispatch.deliver(std::move(event)); }
 };
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -15,6 +15,7 @@
 using namespace geraniumpulley;
 
 constexpr int exitUsage = 2;
+constexpr int exitInterrupted = 1;
 
 int run(const std::string &path)
 {
@@ -36,6 +37,8 @@
         return 1;
     }
     runtime::waitForStopSignal();
+    runtime::exitAtNextStopSignal(exitInterrupted);
+    daemon.value()->drain();
     return 0;
 }
 
--- a/packages/node/src/operator_routes.cpp
+++ b/packages/node/src/operator_routes.cpp
@@ -74,6 +74,9 @@
     if (route == "GET /status")
         return parts.control.inbox().tryPush(
                 core::StatusAsked{request.token, core::StatusQuestion::Status});
+    if (route == "GET /readyz" && parts.draining)
+        return answer(parts, request.token, statusUnavailable,
+                      R"({"ready":false,"reason":"draining"})");
     if (route == "GET /readyz")
         return parts.control.inbox().tryPush(
                 core::StatusAsked{request.token, core::StatusQuestion::Readiness});
--- a/packages/node/src/parts.hpp
+++ b/packages/node/src/parts.hpp
@@ -8,9 +8,11 @@
 #include <geraniumpulley/net/peer_link.hpp>
 #include <geraniumpulley/net/platform_client.hpp>
 #include <geraniumpulley/runtime/duty.hpp>
+#include <geraniumpulley/runtime/latch.hpp>
 #include <geraniumpulley/runtime/log.hpp>
 #include <geraniumpulley/runtime/metrics.hpp>
 
+#include <atomic>
 #include <memory>
 
 namespace geraniumpulley::node {
@@ -37,6 +39,8 @@
     std::unique_ptr<net::PeerLink> peers;
     std::unique_ptr<net::HttpDoor> callers;
     std::unique_ptr<net::HttpDoor> operators;
+    std::atomic<bool> draining = false; ///< The node stops; it is not ready any more.
+    runtime::Latch callsDrained; ///< Set when no application call is under way in a drain.
 };
 
 } // namespace geraniumpulley::node
--- a/packages/runtime/include/geraniumpulley/runtime/signals.hpp
+++ b/packages/runtime/include/geraniumpulley/runtime/signals.hpp
@@ -10,4 +10,7 @@
 /// \return the signal's number.
 int waitForStopSignal();
 
+/// Starts a thread that ends the process at once, with `code`, at the next SIGTERM or SIGINT.
+void exitAtNextStopSignal(int code);
+
 } // namespace geraniumpulley::runtime
--- a/packages/runtime/src/signals.cpp
+++ b/packages/runtime/src/signals.cpp
@@ -1,6 +1,8 @@
 #include <geraniumpulley/runtime/signals.hpp>
 
 #include <csignal>
+#include <cstdlib>
+#include <thread>
 
 namespace geraniumpulley::runtime {
 namespace {
@@ -31,4 +33,12 @@
     return received;
 }
 
+void exitAtNextStopSignal(int code)
+{
+    std::thread([code] {
+        waitForStopSignal();
+        std::_Exit(code);
+    }).detach();
+}
+
 } // namespace geraniumpulley::runtime
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,7 +27,27 @@
   done
 done
 
-echo "== 2b. a booking with a malformed key is refused as not run"
+echo "== 2b. a booking runs once, and its retry through the other node gets the same answer"
+key="$(date +%s)-demo-booking"
+book() { # book NODE
+  fetch -D "$work/headers" -H 'X-Customer: depot-3' -H "Idempotency-Key: $key" \
+    -d '{"order": "A1 roll"}' "http://$(logged "$1" callers)/v1/services/orders/book" \
+    >"$work/answer" && grep -qi '^x-outcome: ran' "$work/headers"
+}
+wait_for "the first booking" book node-a
+cp "$work/answer" "$work/first"
+cat "$work/first"
+echo
+wait_for "the retry's answer" book node-b
+cmp "$work/first" "$work/answer"
+for service in orders-1 orders-2; do
+  fetch "http://127.0.0.1:$(logged $service port)/_ledger" >>"$work/ledgers"
+done
+runs=$(grep -o 'A1 roll' "$work/ledgers" | wc -l)
+echo "ran $runs time(s)"
+[ "$runs" = 1 ]
+
+echo "== 2c. a booking with a malformed key is refused as not run"
 fetch -D "$work/headers" -H 'X-Customer: depot-3' -H 'Idempotency-Key: no-age' \
   -d '{"order": "plain"}' "http://$(logged node-a callers)/v1/services/orders/book"
 echo
