--- /dev/null
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -0,0 +1,82 @@
+#include <geraniumpulley/codec/claim_messages.hpp>
+#include <geraniumpulley/codec/configuration_text.hpp>
+#include <geraniumpulley/codec/peer_messages.hpp>
+#include <geraniumpulley/codec/target_messages.hpp>
+#include <geraniumpulley/codec/trainer_messages.hpp>
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace geraniumpulley;
+
+namespace {
+
+// Bytes near a valid text: cut, with bytes replaced, doubled in part or nested deeply.
+std::string disturb(std::string text, std::mt19937_64 &random)
+{
+    const std::size_t changes = 1 + random() % 4;
+    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
+        const std::size_t at = random() % text.size();
+        switch (random() % 4) {
+        case 0:
+            text.resize(at);
+            break;
+        case 1:
+            text[at] = static_cast<char>(random());
+            break;
+        case 2:
+            text.insert(at, text.substr(at / 2));
+            break;
+        default:
+            text.insert(at, std::string(1 + random() % 64, "[{\"9-"[random() % 5]));
+        }
+    }
+    return text;
+}
+
+void decodeAll(const std::string &bytes)
+{
+    static_cast<void>(codec::decodeAnnouncement(bytes));
+    static_cast<void>(codec::decodeDocument(bytes));
+    static_cast<void>(codec::decodeForwardedCall(bytes));
+    static_cast<void>(codec::decodeCallAnswer(bytes));
+    static_cast<void>(codec::decodeStepRequest(bytes));
+    static_cast<void>(codec::decodeStepAnswer(bytes));
+    static_cast<void>(codec::decodeRows(bytes));
+    static_cast<void>(codec::decodeClaimRows(bytes));
+    static_cast<void>(codec::decodeClaimRow({"claims/1/x", bytes, 1}));
+    static_cast<void>(codec::decodeTargets(bytes));
+    static_cast<void>(codec::decodeScore(bytes));
+    static_cast<void>(codec::parseStepOrder(bytes));
+    static_cast<void>(codec::parseConfiguration(bytes));
+}
+
+} // namespace
+
+TEST_CASE("no decoder throws or crashes on disturbed bytes")
+{
+    const core::Call call{{"orders"}, "clerk", "POST", "/book", "text/plain", "body", "k", false};
+    const core::CallAnswer answer{core::Outcome::Ran, core::Reason::Served, 200, "t", "body"};
+    core::CommitClaims commit;
+    commit.row.claims = {{"id", 7, {}}};
+    commit.row.answers = {{"id", answer}};
+    const std::string texts[] = {
+            codec::encodePeer(codec::ForwardedCall{call, std::chrono::milliseconds(5)}),
+            codec::encodePeer(answer),
+            codec::claimTransaction(commit).writes.at(0).value,
+            R"({"rows":[{"key":"k","value":"v","version":1}]})",
+            R"({"vms":[{"vm":"a","service":"s","address":"127.0.0.1:1"}]})",
+            R"({"deployment":"d","services":[{"name":"a","calls":[]}],"trainers":[]})",
+            R"({"trainer":"t","step":1,"prompts":["p"],"group_size":1,"max_tokens":1,)"
+            R"("trainer_version":1})",
+            R"({"reward":0.5})",
+    };
+    constexpr std::uint64_t seeds = 20'000;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        const std::string bytes = disturb(texts[random() % std::size(texts)], random);
+        REQUIRE_NOTHROW(decodeAll(bytes));
+    }
+}
--- a/packages/core/include/geraniumpulley/core/claims.hpp
+++ b/packages/core/include/geraniumpulley/core/claims.hpp
@@ -142,6 +142,7 @@
     std::map<std::string, WallTime> rows; ///< Stored rows and when they expire.
     std::optional<Time> lastCommitAt;
     std::optional<Time> lastPurgeAt;
+    bool hasExpiredRows = false; ///< As of the last purge.
 };
 
 struct ClaimSettings
--- a/packages/core/src/claim_commits.cpp
+++ b/packages/core/src/claim_commits.cpp
@@ -75,8 +75,7 @@
                             && now - shard.answersQueuedAt >= state.settings.answerDelay;
     if (!shard.queuedClaims.empty() || answersDue)
         return true;
-    return std::any_of(shard.rows.begin(), shard.rows.end(),
-                       [&](const auto &row) { return row.second < state.wallNow; });
+    return shard.hasExpiredRows;
 }
 
 void submit(const ClaimStep &step, ClaimCommit &commit)
@@ -211,7 +210,9 @@
     order.row.key = rowKey(id, order.fence, order.row.writeId);
     takeClaims(shard, step.state.settings.maxBatch, order.row);
     takeAnswers(shard, step.state.settings.maxBatch, order.row);
-    order.expiredRows = expiredRows(step.state, shard);
+    if (shard.hasExpiredRows)
+        order.expiredRows = expiredRows(step.state, shard);
+    shard.hasExpiredRows = false;
     commit.startedAt = step.now;
     shard.lastCommitAt = step.now;
     shard.committing = order.operation;
--- a/packages/core/src/claims.cpp
+++ b/packages/core/src/claims.cpp
@@ -180,6 +180,9 @@
     if (shard.lastPurgeAt && step.now - *shard.lastPurgeAt < step.state.settings.purgePeriod)
         return;
     shard.lastPurgeAt = step.now;
+    shard.hasExpiredRows = std::any_of(shard.rows.begin(), shard.rows.end(), [&](const auto &row) {
+        return row.second < step.state.wallNow;
+    });
     std::erase_if(shard.claims, [&](const auto &entry) {
         const Claim &claim = entry.second;
         const bool isSettled = claim.phase == ClaimPhase::Idle
--- /dev/null
+++ b/packages/core/tests/unit-claims.cpp
@@ -0,0 +1,149 @@
+#include <geraniumpulley/core/dispatch.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start{1h};
+constexpr WallTime wallStart{1'700'000'000s};
+
+// One node that holds every shard.
+struct Holder
+{
+    Holder()
+    {
+        auto configuration = std::make_shared<Configuration>();
+        configuration->services.push_back(
+                Service{{"orders"}, ServiceKind::Plain, {}, {{"GET", "/", true}}, 64, 5s});
+        this->handle(DispatchConfigurationChanged{configuration});
+        auto view = std::make_shared<View>();
+        view->nodes = {{{"a"}, "", "", 1}};
+        view->targets = {{{"t"}, {"orders"}, "", "", false}};
+        this->handle(DispatchViewChanged{view});
+        auto leases = std::make_shared<LeaseTable>();
+        leases->self = {"a"};
+        for (std::uint32_t index = 0; index < shardCount; ++index)
+            leases->leases[{ShardKind::Claims, index}] = {{"a"}, FencingNumber{1}, start + 24h};
+        this->tick(0s);
+        for (const DispatchAction &action : this->handle(DispatchLeasesChanged{leases})) {
+            const auto &load = std::get<LoadClaims>(action);
+            this->handle(ClaimsLoaded{load.operation, load.shard, {}});
+        }
+    }
+
+    std::vector<DispatchAction> handle(const DispatchEvent &event)
+    {
+        return step(this->state, event, this->now);
+    }
+
+    std::vector<DispatchAction> tick(Duration after)
+    {
+        this->now += after;
+        return this->handle(DispatchTick{wallStart + (this->now - start)});
+    }
+
+    std::vector<DispatchAction> call(const char *method, const char *key, const char *body = "{}")
+    {
+        const Call call{{"orders"}, "depot", method, "/book", {}, body, key};
+        return this->handle(CallReceived{ReplyToken{1}, call, this->now + 5s, false});
+    }
+
+    // Runs a call to its end and returns what its caller is told.
+    CallAnswer run(const char *key, const std::string &answer)
+    {
+        const auto claimed = this->call("POST", key);
+        const auto sent =
+                this->handle(ClaimsCommitted{std::get<CommitClaims>(claimed.at(0)).operation});
+        const OperationId operation = std::get<SendToTarget>(sent.at(0)).operation;
+        const auto told = this->handle(TargetAnswered{operation, 201, "text/plain", answer});
+        return std::get<AnswerCall>(told.at(0)).answer;
+    }
+
+    DispatchState state = makeDispatchState({"a"}, "a-1");
+    Time now = start;
+};
+
+const CallAnswer &answerIn(const std::vector<DispatchAction> &actions)
+{
+    REQUIRE(actions.size() == 1);
+    return std::get<AnswerCall>(actions[0]).answer;
+}
+
+} // namespace
+
+TEST_CASE("a retry gets the same whole answer, another order under the key does not run")
+{
+    Holder holder;
+    const CallAnswer first = holder.run("1700000000-aaaaaaaa", "order 7");
+    CHECK(first.body == "order 7");
+    CHECK(answerIn(holder.call("POST", "1700000000-aaaaaaaa")) == first);
+    const CallAnswer other = answerIn(holder.call("POST", "1700000000-aaaaaaaa", "{2}"));
+    CHECK(other.outcome == Outcome::Unknown);
+    CHECK(other.reason == Reason::KeyReused);
+}
+
+TEST_CASE("a large answer reaches its caller whole and a retry learns that it ran")
+{
+    Holder holder;
+    const std::string large(holder.state.claims.settings.maxKeptAnswerBytes + 1, 'x');
+    CHECK(holder.run("1700000000-aaaaaaaa", large).body == large);
+    const CallAnswer retried = answerIn(holder.call("POST", "1700000000-aaaaaaaa"));
+    CHECK(retried.outcome == Outcome::Ran);
+    CHECK(retried.reason == Reason::AnswerNotKept);
+}
+
+TEST_CASE("keys that are too old are unknown, and what has expired is deleted")
+{
+    Holder holder;
+    CHECK(holder.run("1700000000-aaaaaaaa", "order 7").outcome == Outcome::Ran);
+    std::size_t written = 0;
+    std::size_t deleted = 0;
+    for (int i = 0; i < 15 * 60; ++i) {
+        for (const DispatchAction &action : holder.tick(1s)) {
+            const auto &commit = std::get<CommitClaims>(action);
+            written += commit.row.answers.size();
+            deleted += commit.expiredRows.size();
+            holder.handle(ClaimsCommitted{commit.operation});
+        }
+    }
+    CHECK(written == 1);
+    CHECK(deleted == 2);
+    for (const auto &[id, shard] : holder.state.claims.shards) {
+        CHECK(shard.claims.empty());
+        CHECK(shard.rows.empty());
+    }
+    const CallAnswer late = answerIn(holder.call("POST", "1700000000-aaaaaaaa"));
+    CHECK(late.outcome == Outcome::Unknown);
+    CHECK(late.reason == Reason::KeyExpired);
+}
+
+TEST_CASE("with the store down repeatable calls go on and others are told 'not run' truthfully")
+{
+    Holder holder;
+    const auto claimed = holder.call("POST", "1700000000-aaaaaaaa");
+    const OperationId commit = std::get<CommitClaims>(claimed.at(0)).operation;
+    holder.handle(ClaimsUncertain{commit});
+    CHECK(std::holds_alternative<CommitClaims>(holder.tick(2s).at(0)));
+    CHECK(std::holds_alternative<SendToTarget>(holder.call("GET", "").at(0)));
+    // The same shard, so that the refusal is known from its commit.
+    const Shard shard = claimShardOf(
+            *claimKeyOf({{"orders"}, "depot", "POST", "/book", {}, "{}", "1700000000-aaaaaaaa"}));
+    std::string key;
+    for (int i = 10'000'000; key.empty(); ++i) {
+        const std::string candidate = "1700000000-" + std::to_string(i);
+        const Call call{{"orders"}, "depot", "POST", "/book", {}, "{}", candidate};
+        if (claimShardOf(*claimKeyOf(call)) == shard)
+            key = candidate;
+    }
+    const CallAnswer refused = answerIn(holder.call("POST", key.c_str()));
+    CHECK(refused.outcome == Outcome::NotRun);
+    CHECK(refused.reason == Reason::StoreUnavailable);
+    // The first caller gives up; the commit that took effect later sends nothing.
+    const CallAnswer gaveUp = answerIn(holder.tick(4s));
+    CHECK(gaveUp.outcome == Outcome::NotRun);
+    CHECK(holder.handle(ClaimsCommitted{commit}).empty());
+    CHECK(std::holds_alternative<SendToTarget>(holder.call("POST", "1700000000-aaaaaaaa").at(0)));
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -69,4 +69,10 @@
 fetch -X POST "$step/ack"
 echo
 fetch "$step" | grep -q '"state":"acknowledged"'
+echo "== 4. a planned stop of node B ends with exit 0 after the calls under way"
+node_pid=${pids[-1]}
+kill -TERM "$node_pid"
+wait "$node_pid"
+grep -q "event=drained in_time=true" "$work/node-b.log"
+
 echo "== all three steps came through"
