--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -24,6 +24,7 @@
     std::string method;
     std::string pathPrefix;
     bool repeatable = false;
+    std::uint32_t priority = 0; ///< Higher is served first, lower is shed first.
 
     auto operator<=>(const CallRule &) const = default;
 };
@@ -46,6 +47,8 @@
     std::uint32_t minServingPercent = 75; ///< Engines that serve while others swap weights.
     std::uint32_t weightLoadsAtOnce = 4; ///< Loads that the weight store serves at a time.
     bool checksFencing = false; ///< Its engines refuse orders with an old fencing number.
+    std::uint32_t maxQueued = 256; ///< Calls that wait at one node for a target.
+    std::uint32_t callReserve = 2; ///< Of `maxInFlight`, what rollouts leave free for calls.
 
     auto operator<=>(const Service &) const = default;
 };
@@ -111,6 +114,10 @@
 /// \return the service of that name, or null. Complexity: linear in services.
 const Service *findService(const Configuration &configuration, const ServiceName &name);
 
+/// \return the priority of a call; 0 when no rule matches.
+std::uint32_t priorityOf(const Service &service, const std::string &method,
+                         const std::string &path);
+
 /// \return whether the service's rules allow this call to run more than once.
 bool isRepeatable(const Service &service, const std::string &method, const std::string &path);
 
