Cancel superseded generations and let the demo wait for the lease

Change: CancelGeneration names the attempt; records are logged by kind; the demo repeats the opening while it is refused with 503.

--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -28,6 +28,8 @@
 constexpr double prefillRate = 8000; // Tokens a second.
 constexpr double cacheTransferSeconds = 0.2;
 constexpr std::uint32_t maxInFlight = 32;
+constexpr double longFactor = 1.5; // Of the mean length; such a sample counts as long.
+constexpr std::size_t leastMoveGain = 1; // Requests by which the batches differ afterwards.
 constexpr std::uint32_t groupCount = 128;
 constexpr std::uint32_t groupSize = 8;
 constexpr double maxTokens = 2048;
@@ -280,6 +282,12 @@
                     std::chrono::duration<double>(this->now - Time{1h}).count();
     }
 
+    bool isLong(const Running &running) const
+    {
+        const double mean = this->trueTokens / static_cast<double>(this->lengths.size());
+        return running.made > longFactor * mean;
+    }
+
     // With priority, the few requests that are furthest run as if they were alone.
     double rateOf(const Engine &engine, const Running &running) const
     {
@@ -289,11 +297,11 @@
             return fair;
         const double prioritized = static_cast<double>(
                 std::count_if(engine.running.begin(), engine.running.end(),
-                              [](const Running &other) { return other.made > maxTokens / 3; }));
+                              [this](const Running &other) { return this->isLong(other); }));
         if (prioritized == 0 || prioritized == batch)
             return fair;
         const double preferred = soloRate / (1 + prioritized / halfBatch);
-        if (running.made > maxTokens / 3)
+        if (this->isLong(running))
             return preferred;
         return std::max(0.0, (batch * fair - prioritized * preferred) / (batch - prioritized));
     }
@@ -347,6 +355,7 @@
                 std::clamp(std::floor(mean * 0.8 * this->draw(0.85)), 8.0, maxTokens);
     }
 
+    // The shortest one moves: a move stalls it, and those that stay run faster.
     void moveSamples()
     {
         const bool moves = this->policy.tail == Tail::Resume || this->policy.tail == Tail::Cache;
@@ -358,18 +367,17 @@
                 this->engines.begin(), this->engines.end(),
                 [](const auto &a, const auto &b) { return a.running.size() < b.running.size(); });
         const bool isUp = least->upAt <= this->now;
-        if (!isUp
-            || !isWorthMoving(static_cast<std::uint32_t>(most->running.size()),
-                              static_cast<std::uint32_t>(least->running.size())))
+        if (!isUp || most->running.size() <= least->running.size() + leastMoveGain)
             return;
-        const auto longest = std::max_element(
+        const auto shortest = std::min_element(
                 most->running.begin(), most->running.end(),
                 [](const Running &a, const Running &b) { return a.made < b.made; });
         const auto id =
                 this->view.targets[static_cast<std::size_t>(most - this->engines.begin())].id;
-        const SampleSlot slot = longest->slot;
-        StepState &step = this->steps[longest->step];
-        this->interrupt(*most, static_cast<std::size_t>(longest - most->running.begin()), id, true);
+        const SampleSlot slot = shortest->slot;
+        StepState &step = this->steps[shortest->step];
+        this->interrupt(*most, static_cast<std::size_t>(shortest - most->running.begin()), id,
+                        true);
         step.slots.at(slot).committed = true; // Marks that its cache was exported.
     }
 
@@ -533,6 +541,8 @@
 {
     for (const Policy &policy : policies) {
         for (const bool fails : {false, true}) {
+            if (fails && policy.tail != Tail::None)
+                continue;
             for (const Lengths lengths : {Lengths::LogNormal, Lengths::Pareto}) {
                 for (const auto &[engines, trainers] :
                      {std::pair{10U, 1U}, {8U, 2U}, {10U, 3U}, {10U, 15U}})
--- a/packages/codec/include/geraniumpulley/codec/step_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/step_messages.hpp
@@ -23,6 +23,9 @@
 /// \return the path of the object that holds the samples of a record.
 std::string samplesPath(const core::StepId &id, const std::string &writeId);
 
+/// \return the name of a record's kind, such as "sealed", as rows and logs carry it.
+const char *kindOf(const core::StepRecordContent &content);
+
 /// The transaction that appends a record; it commits only when the number is free and the fence,
 /// if there is one, is still in force.
 TableTransaction appendTransaction(const core::AppendRecord &append);
--- a/packages/codec/include/geraniumpulley/codec/target_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/target_messages.hpp
@@ -16,7 +16,7 @@
 std::string encodeGenerate(const core::Generate &order, const std::string &requestId);
 
 /// \return the body of `POST /cancel`.
-std::string encodeCancel(const std::string &requestId);
+std::string encodeCancel(const core::CancelGeneration &order, const std::string &requestId);
 
 /// Tokens of one engine's stream, as far as they have come.
 struct GenerationPart
--- a/packages/codec/src/step_messages.cpp
+++ b/packages/codec/src/step_messages.cpp
@@ -34,7 +34,6 @@
         std::vector<value> prompts;
         for (const std::string &prompt : order.prompts)
             prompts.push_back(value::string(prompt));
-        this->body["kind"] = value::string(openedKind);
         this->body["prompts"] = value::array(std::move(prompts));
         this->body["group_size"] = value::number(order.groupSize);
         this->body["max_tokens"] = value::number(order.maxTokens);
@@ -46,20 +45,17 @@
 
     void operator()(const core::SamplesFinished &finished) const
     {
-        this->body["kind"] = value::string(samplesKind);
         this->body["count"] = value::number(static_cast<std::uint64_t>(finished.samples.size()));
     }
 
     void operator()(const core::BatchSealed &sealed) const
     {
-        this->body["kind"] = value::string(sealedKind);
         this->body["trainer_version"] = value::number(core::number(sealed.trainerVersion));
         this->body["digest"] = value::string(sealed.digest);
     }
 
     void operator()(const core::BatchAcknowledged &acknowledged) const
     {
-        this->body["kind"] = value::string(acknowledgedKind);
         this->body["digest"] = value::string(acknowledged.digest);
     }
 };
@@ -70,6 +66,7 @@
     body["write_id"] = value::string(record.writeId);
     const auto left = std::max<std::int64_t>(toMilliseconds(record.timeLeft), 0);
     body["left_ms"] = value::number(left);
+    body["kind"] = value::string(kindOf(record.content));
     std::visit(ContentEncoder{body}, record.content);
     return body.serialize();
 }
@@ -115,6 +112,18 @@
 
 } // namespace
 
+const char *kindOf(const core::StepRecordContent &content)
+{
+    struct Visitor
+    {
+        const char *operator()(const core::StepOpened &) const { return openedKind; }
+        const char *operator()(const core::SamplesFinished &) const { return samplesKind; }
+        const char *operator()(const core::BatchSealed &) const { return sealedKind; }
+        const char *operator()(const core::BatchAcknowledged &) const { return acknowledgedKind; }
+    };
+    return std::visit(Visitor{}, content);
+}
+
 std::string stepIndexKey(const core::TrainerName &trainer)
 {
     return "steps/" + trainer.value;
--- a/packages/codec/src/target_messages.cpp
+++ b/packages/codec/src/target_messages.cpp
@@ -50,6 +50,7 @@
     body["request"] = value::string(requestId);
     body["prompt"] = value::string(order.prompt);
     body["max_tokens"] = value::number(order.maxTokens);
+    body["attempt"] = value::number(order.attempt);
     body["priority"] = value::string("rollout");
     if (order.resumeTokens > 0) {
         value resume = value::object();
@@ -60,10 +61,11 @@
     return body.serialize();
 }
 
-std::string encodeCancel(const std::string &requestId)
+std::string encodeCancel(const core::CancelGeneration &order, const std::string &requestId)
 {
     value body = value::object();
     body["request"] = value::string(requestId);
+    body["attempt"] = value::number(order.attempt);
     return body.serialize();
 }
 
--- a/packages/core/include/geraniumpulley/core/placement.hpp
+++ b/packages/core/include/geraniumpulley/core/placement.hpp
@@ -41,10 +41,6 @@
                            const View &view, const EngineReports *reports, const EngineLoads &loads,
                            Time now);
 
-/// \return whether a sample gains by going on at the less loaded engine: the batch there stays
-/// smaller than the one that it leaves, so that no sample is moved back.
-bool isWorthMoving(std::uint32_t inFlightFrom, std::uint32_t inFlightTo);
-
 /// \return how far a step is behind its fair share: requests in flight relative to its trainer's
 /// weight and to the samples a second that it needs to be whole when it is due. The least goes
 /// first.
--- a/packages/core/include/geraniumpulley/core/rollout.hpp
+++ b/packages/core/include/geraniumpulley/core/rollout.hpp
@@ -140,6 +140,7 @@
 {
     SampleSlot slot;
     Target target;
+    std::uint32_t attempt = 0;
 };
 struct Score
 {
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr Duration firstRest = std::chrono::milliseconds(250);
-constexpr std::uint32_t leastMoveGain = 1; // Requests by which the batches differ afterwards.
 constexpr std::uint32_t mostDoublings = 6;
 
 // Requests that others have at the engine count against the room for rollouts, so that
@@ -67,11 +66,6 @@
     return best;
 }
 
-bool isWorthMoving(std::uint32_t inFlightFrom, std::uint32_t inFlightTo)
-{
-    return inFlightFrom > inFlightTo + leastMoveGain;
-}
-
 double shareOf(std::uint32_t inFlight, std::uint32_t weight, std::uint64_t unfinished,
                Duration timeLeft)
 {
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollout.cpp
@@ -42,7 +42,9 @@
     {
         StepState &step = this->step;
         step.trainerVersion = std::max(step.trainerVersion, request.trainerVersion);
-        discardStale(step, stalenessBoundOf(this->context, step), this->context.now);
+        const std::uint64_t bound = stalenessBoundOf(this->context, step);
+        if (discardStale(step, bound, this->context.now) > 0)
+            cancelRequests(this->context, step.order.id);
         Duration wait = request.wait;
         if (isWhole(step))
             wait = std::max(wait, leastWaitForStore);
@@ -101,8 +103,11 @@
                       StepAnswer{StepVerdict::UnknownTrainer});
     if (forward(context, event))
         return;
-    if (!isOwnerOf(context, trainer))
-        return answer(context, event.reply, event.forwarded, StepAnswer{StepVerdict::OwnerLost});
+    if (!isOwnerOf(context, trainer)) {
+        StepAnswer refusal{StepVerdict::OwnerLost};
+        refusal.detail = "no node owns the trainer's steps at the moment; ask again";
+        return answer(context, event.reply, event.forwarded, std::move(refusal));
+    }
     const StepId &id = stepOf(event.request);
     if (context.state.steps.count(id) != 0)
         return serveRequest(context, event);
--- a/packages/core/src/rollout_context.hpp
+++ b/packages/core/src/rollout_context.hpp
@@ -53,8 +53,8 @@
 void onGenerationFailed(RolloutContext &context, const GenerationFailed &event);
 void onScored(RolloutContext &context, const SampleScored &event);
 void onScoringFailed(RolloutContext &context, const ScoringFailed &event);
-/// Stops the step's requests at the engines.
-void cancelRequests(RolloutContext &context, const StepState &step);
+/// Stops the generations that the step, if it is still there, does not wait for.
+void cancelRequests(RolloutContext &context, const StepId &id);
 
 // rollout.cpp
 
--- a/packages/core/src/rollout_generation.cpp
+++ b/packages/core/src/rollout_generation.cpp
@@ -240,16 +240,19 @@
     startRequests(context);
 }
 
-void cancelRequests(RolloutContext &context, const StepState &step)
+void cancelRequests(RolloutContext &context, const StepId &id)
 {
-    if (!context.state.view)
-        return;
-    for (const auto &[slot, state] : step.slots) {
-        if (state.phase != SlotPhase::Generating)
-            continue;
+    const auto step = context.state.steps.find(id);
+    const SampleSlot first{id, 0, 0};
+    auto request = context.state.openRequests.lower_bound({first, 0, false});
+    for (; request != context.state.openRequests.end() && request->first.slot.step == id;
+         ++request) {
+        const auto &[slot, attempt, scores] = request->first;
+        const bool isWanted =
+                step != context.state.steps.end() && step->second.slots.at(slot).attempt == attempt;
         for (const Target &target : context.state.view->targets) {
-            if (target.id == state.target)
-                context.actions.push_back(CancelGeneration{slot, target});
+            if (!scores && !isWanted && target.id == request->second)
+                context.actions.push_back(CancelGeneration{slot, target, attempt});
         }
     }
 }
--- a/packages/core/src/rollout_ownership.cpp
+++ b/packages/core/src/rollout_ownership.cpp
@@ -112,7 +112,7 @@
     if (entry.empty())
         return;
     const StepState &step = entry.mapped();
-    cancelRequests(context, step);
+    cancelRequests(context, id);
     for (const auto *waiters : {&step.fetchers, &step.acknowledgers}) {
         for (const StepWaiter &waiter : *waiters)
             answer(context, waiter.reply, waiter.forwarded, StepAnswer{StepVerdict::OwnerLost});
--- a/packages/core/tests/rollout_world.cpp
+++ b/packages/core/tests/rollout_world.cpp
@@ -136,7 +136,7 @@
 {
     std::erase_if(this->streams, [&](const FakeStream &stream) {
         const bool isIt = stream.node == node && stream.order.slot == order.slot
-                          && stream.order.target.id == order.target.id;
+                          && stream.order.attempt == order.attempt;
         if (isIt)
             this->nodes[node].inbox.push_back(
                     GenerationFailed{stream.order.slot, stream.order.attempt});
--- a/packages/node/src/rollout_duty.cpp
+++ b/packages/node/src/rollout_duty.cpp
@@ -3,6 +3,7 @@
 #include "step_store.hpp"
 
 #include <geraniumpulley/codec/peer_messages.hpp>
+#include <geraniumpulley/codec/step_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -96,9 +97,9 @@
 
     void perform(core::CancelGeneration &&order)
     {
-        net::HttpRequest request = makeRequest(order.slot, 0, order.target);
+        net::HttpRequest request = makeRequest(order.slot, order.attempt, order.target);
         request.target = "/cancel";
-        request.body = codec::encodeCancel(nameOf(order.slot));
+        request.body = codec::encodeCancel(order, nameOf(order.slot));
         request.deadline = runtime::now() + cancelTimeout;
         request.done = [](net::HttpResult &&) {}; // The stream's own end tells what came of it.
         this->parts.targets->send(std::move(request));
@@ -149,7 +150,14 @@
 
     void perform(core::LoadStep &&order) { loadStep(this->parts, std::move(order)); }
 
-    void perform(core::AppendRecord &&append) { appendRecord(this->parts, std::move(append)); }
+    void perform(core::AppendRecord &&append)
+    {
+        this->parts.logger.write("step_record", runtime::field("trainer", append.id.trainer.value),
+                                 runtime::field("step", append.id.step),
+                                 runtime::field("number", append.number),
+                                 runtime::field("kind", codec::kindOf(append.record.content)));
+        appendRecord(this->parts, std::move(append));
+    }
 
     void perform(core::ReadRecord &&order) { readRecord(this->parts, std::move(order)); }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -29,10 +29,10 @@
 
 echo "== 3. a trainer opens a step and gets a labelled, scored batch once"
 callers=http://$(logged node-b callers)
-fetch "$callers/v1/steps" -d '{"trainer": "plotter-quotes", "step": 1, "group_size": 4,
-  "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"], "max_tokens": 64,
-  "trainer_version": 1}'
-echo
+# Refused with 503 while no node holds the lease of the trainer's steps yet.
+wait_for "the step to open" fetch -f "$callers/v1/steps" -d '{"trainer": "plotter-quotes",
+  "step": 1, "group_size": 4, "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"],
+  "max_tokens": 64, "trainer_version": 1}'
 step=$callers/v1/steps/plotter-quotes/1
 batch_is_ready() { fetch "$step?trainer_version=1&wait_ms=5000" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
 wait_for "the batch" batch_is_ready
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -28,6 +28,7 @@
 
 struct Stream
 {
+    std::string key; // Request and attempt.
     std::string request;
     std::uint64_t made = 0; // Tokens so far.
     std::uint64_t length = 0;
@@ -67,17 +68,25 @@
         return std::prev(this->versions.upper_bound(time))->second;
     }
 
+    static std::string keyOf(const value &order)
+    {
+        const std::uint64_t attempt =
+                order.has_field("attempt") ? order.at("attempt").as_number().to_uint64() : 0;
+        return fmt::format("{}-{}", order.at("request").as_string(), attempt);
+    }
+
     // Streams in real time; the tokens of a resumed request follow those that it brings along.
     Reply generate(const value &order)
     {
         auto stream = std::make_shared<Stream>();
+        stream->key = keyOf(order);
         stream->request = order.at("request").as_string();
         const std::uint64_t limit = order.at("max_tokens").as_number().to_uint64();
         stream->length = 1 + std::hash<std::string>{}(stream->request) % limit;
         if (order.has_field("resume"))
             stream->made = order.at("resume").at("tokens").as_number().to_uint64();
         const bool hasCache = order.has_field("kv") && this->imports.count(stream->request) != 0;
-        this->streams[stream->request] = stream;
+        this->streams[stream->key] = stream;
         const Duration prefill = prefillPerToken * (hasCache ? 0 : stream->made);
         return {200, "", prefill, [this, stream] { return this->continueStream(stream); }};
     }
@@ -106,7 +115,7 @@
 
     void forget(const std::shared_ptr<Stream> &stream)
     {
-        const auto position = this->streams.find(stream->request);
+        const auto position = this->streams.find(stream->key);
         if (position != this->streams.end() && position->second == stream)
             this->streams.erase(position);
     }
@@ -115,7 +124,7 @@
     Reply cancel(const value &order)
     {
         const std::string request = order.at("request").as_string();
-        const auto position = this->streams.find(request);
+        const auto position = this->streams.find(keyOf(order));
         if (position == this->streams.end())
             return {404, R"({"error":"no such request"})", {}};
         position->second->cancelled = true;
