--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,13 +55,10 @@
 
 echo "== 3. a trainer opens a step and gets a labelled, scored batch once"
 callers=http://$(logged node-b callers)
-# Opening a step again is harmless, so a trainer repeats it until an owner has taken it.
-open_step() {
-  fetch -f "$callers/v1/steps" -d '{"trainer": "plotter-quotes", "step": 1, "group_size": 4,
-    "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"], "max_tokens": 64,
-    "trainer_version": 1}'
-}
-wait_for "an owner of the step" open_step
+# Refused with 503 while no node holds the lease of the trainer's steps yet.
+wait_for "the step to open" fetch -f "$callers/v1/steps" -d '{"trainer": "plotter-quotes",
+  "step": 1, "group_size": 4, "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"],
+  "max_tokens": 64, "trainer_version": 1}'
 step=$callers/v1/steps/plotter-quotes/1
 batch_is_ready() { fetch "$step?trainer_version=1&wait_ms=5000" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
 wait_for "the batch" batch_is_ready
