--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -34,7 +34,7 @@
     std::vector<CallRule> calls;
     std::uint32_t maxInFlight = 32; ///< Requests at one target at a time.
     Duration timeout = std::chrono::seconds(5); ///< Used where a caller names no deadline.
-    std::uint32_t minServingPercent = 75; ///< Engines that serve while others swap weights.
+    std::uint32_t minServingPercent = 60; ///< Engines that serve while others swap weights.
     std::uint32_t weightLoadsAtOnce = 4; ///< Loads that the weight store serves at a time.
     bool checksFencing = false; ///< Its engines refuse orders with an old fencing number.
 };
--- a/packages/core/include/geraniumpulley/core/engines.hpp
+++ b/packages/core/include/geraniumpulley/core/engines.hpp
@@ -196,11 +196,11 @@
     std::string process; ///< Unique for each start of a process.
     Duration silenceLimit = std::chrono::seconds(5); ///< As the membership's.
     Duration pollPeriod = std::chrono::seconds(1); ///< Of one engine, while there are few.
-    Duration pollSpacing = std::chrono::milliseconds(200); ///< Between polls of all engines.
-    Duration peerPeriod = std::chrono::seconds(2); ///< Of asking one other owner.
+    Duration pollSpacing = std::chrono::milliseconds(250); ///< Between polls of all engines.
+    Duration peerPeriod = std::chrono::seconds(3); ///< Of asking one other owner.
     Duration desiredPeriod = std::chrono::seconds(5); ///< Of reading the desired rows.
     Duration claimCheckPeriod = std::chrono::seconds(2); ///< Well below `silenceLimit`.
-    Duration drainLimit = std::chrono::seconds(2);
+    Duration drainLimit = std::chrono::milliseconds(1500);
     bool relays = true; ///< Loaded engines feed others.
 };
 
@@ -259,11 +259,13 @@
     std::map<TargetId, EngineReport> heard; ///< From other nodes.
     std::map<ServiceName, DesiredWeights> desired;
     std::vector<PendingWeights> pending;
+    std::vector<Node> asked; ///< Other owners whose reports this node asks for.
     std::size_t nextAsked = 0; ///< Position in the rotation over the owners that are asked.
     Time nextPeers{};
     Time nextDesired{};
     std::uint64_t claims = 0; ///< Made so far; keeps claims of one process apart.
     bool changed = false; ///< Reports differ from those last published.
+    bool publishNow = false; ///< Because an engine began or ended to take no new work.
 };
 
 EnginesState makeEnginesState(EnginesSettings settings);
--- a/packages/core/src/engine_waves.cpp
+++ b/packages/core/src/engine_waves.cpp
@@ -57,6 +57,8 @@
     // Orders the engines that have drained, then drains more while the share allows it.
     void advance()
     {
+        if (this->isSettled())
+            return;
         for (const Target &engine : this->group.engines)
             this->advanceDraining(engine);
         std::vector<Target> behind = this->enginesBehind();
@@ -73,6 +75,16 @@
         }
     }
 
+    [[nodiscard]] bool isSettled()
+    {
+        return std::all_of(this->group.engines.begin(), this->group.engines.end(),
+                           [&](const Target &engine) {
+                               const EngineRecord &known = this->record(engine);
+                               return known.phase != SwapPhase::Draining
+                                      && (!known.report || known.report->version >= this->desired);
+                           });
+    }
+
     std::size_t room()
     {
         std::size_t counted = 0;
@@ -115,7 +127,7 @@
         known.phaseSince = this->now;
         known.source = std::move(source);
         known.nextPoll = this->now; // A fresh count of requests in flight ends the drain early.
-        this->state.changed = true;
+        this->state.publishNow = true;
     }
 
     void advanceDraining(const Target &engine)
@@ -126,7 +138,7 @@
         const EngineReport &report = *known.report;
         if (report.version >= this->desired || report.swapping) {
             known.phase = SwapPhase::Idle;
-            this->state.changed = true;
+            this->state.publishNow = true;
             return;
         }
         const bool empty = report.inFlight == 0 && measuredAt(report) > known.phaseSince;
@@ -256,7 +268,7 @@
         if (record.phase != SwapPhase::Draining)
             continue;
         record.phase = SwapPhase::Idle;
-        state.changed = true;
+        state.publishNow = true;
     }
 }
 
--- a/packages/core/src/engines.cpp
+++ b/packages/core/src/engines.cpp
@@ -245,6 +245,7 @@
             return this->now - entry.second.heardAt > heardLimit;
         });
         reconcileWeights(this->state, this->now, this->actions);
+        this->state.publishNow = this->state.publishNow || this->state.changed;
     }
 
     void regroup()
@@ -263,6 +264,7 @@
         }
         this->state.holds = std::move(holds);
         this->state.engines = std::move(engines);
+        this->state.asked = this->sampleOwners();
         this->state.changed = true;
     }
 
@@ -299,6 +301,7 @@
         record.phase = SwapPhase::Idle;
         record.phaseSince = this->now;
         record.answerLost = false;
+        this->state.publishNow = true;
         record.nextPoll = this->now;
         if (done) {
             record.failures = 0;
@@ -430,7 +433,9 @@
                 if (record.polling || record.nextPoll > this->now)
                     continue;
                 record.polling = true;
-                record.nextPoll = this->now + period;
+                // A drain ends with the first report that shows the engine empty.
+                const bool draining = record.phase == SwapPhase::Draining;
+                record.nextPoll = draining ? this->now : this->now + period;
                 this->actions.push_back(PollLoad{engine});
             }
         }
@@ -456,7 +461,7 @@
         if (!this->state.view || this->now < this->state.nextPeers)
             return;
         this->state.nextPeers = this->now + this->state.settings.peerPeriod;
-        const std::vector<Node> owners = this->sampleOwners();
+        const std::vector<Node> &owners = this->state.asked;
         if (owners.empty())
             return;
         this->state.nextAsked = (this->state.nextAsked + 1) % owners.size();
@@ -501,8 +506,9 @@
 
     void publish()
     {
-        if (!this->state.changed)
+        if (!this->state.publishNow)
             return;
+        this->state.publishNow = false;
         this->state.changed = false;
         auto reports = std::make_shared<EngineReports>();
         reports->reports = ownReports(this->state);
