--- a/packages/core/include/geraniumpulley/core/lease_manager.hpp
+++ b/packages/core/include/geraniumpulley/core/lease_manager.hpp
@@ -163,6 +163,7 @@
 {
     Node self;
     LeaseSettings settings;
+    std::optional<std::vector<Node>> unranked; ///< Members that the next tick ranks.
     std::map<Shard, ShardRanking> rankings;
     std::map<Shard, KnownFence> fences;
     std::map<NodeId, LeaseObservation> observations;
@@ -187,7 +188,7 @@
 
 /// Takes one event and returns what has to be done about it.
 /// Invariant: a fencing number that this node knows never falls.
-/// Complexity: linear in shards; times nodes for `LeaseNodesChanged`.
+/// Complexity: linear in shards; times nodes for the first tick after `LeaseNodesChanged`.
 std::vector<LeaseAction> step(LeaseState &state, const LeaseEvent &event, Time now);
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/lease_manager.cpp
+++ b/packages/core/src/lease_manager.cpp
@@ -73,6 +73,7 @@
     {
         if (this->state.superseded)
             return;
+        this->rankMembers();
         const auto &lastRead = this->state.fencesRead;
         if (!lastRead || this->now - *lastRead >= this->state.settings.fencesPeriod)
             this->actions.push_back(ReadFences{});
@@ -82,11 +83,20 @@
         this->commitChanges();
     }
 
+    // Many members may come at once, and ranking them costs shards times members.
+    void rankMembers()
+    {
+        if (!this->state.unranked)
+            return;
+        for (const Shard &shard : allShards())
+            this->state.rankings[shard] = rank(shard, *this->state.unranked);
+        this->state.unranked.reset();
+    }
+
     void operator()(const LeaseNodesChanged &event)
     {
         this->state.membersSince = this->now;
-        for (const Shard &shard : allShards())
-            this->state.rankings[shard] = rank(shard, event.nodes);
+        this->state.unranked = event.nodes;
     }
 
     void operator()(const FencesRead &event)
@@ -137,6 +147,7 @@
     void operator()(const LeaseReleaseAsked &)
     {
         this->state.stopping = true;
+        this->rankMembers();
         this->publish();
         this->commitChanges();
     }
--- a/packages/core/tests/control_network.hpp
+++ b/packages/core/tests/control_network.hpp
@@ -54,8 +54,8 @@
     bool storeRuns = true;
     bool loseCommitAnswers = false;
     bool parted = false;
-    bool gossips = true;
-    bool polls = true;
+    bool gossips = true; ///< Versions travel on messages between the nodes.
+    bool polls = true; ///< Nodes read the head row.
     Faults faults;
     Counters counters;
     std::function<void(const ControlAction &)> onSend = [](const ControlAction &) {};
@@ -138,8 +138,6 @@
     void send(const std::string &from, const std::string &to, const ControlAction &action,
               const ControlEvent &event)
     {
-        if (!this->gossips)
-            return;
         ++this->counters.messages;
         this->onSend(action);
         const auto target = this->members.find(to);
@@ -213,8 +211,17 @@
         this->read(address, TargetsListed{this->targets});
     }
 
+    // Without gossip of versions the members still probe each other.
     void perform(const std::string &from, const SendAnnouncement &action)
     {
+        const auto target = this->members.find(action.to.address);
+        if (!this->gossips && action.announcement.kind == AnnouncementKind::News)
+            return;
+        if (!this->gossips && target != this->members.end()) {
+            Announcement silent = action.announcement;
+            silent.version = versionInForce(target->second.state);
+            return this->send(from, action.to.address, action, AnnouncementReceived{silent});
+        }
         this->send(from, action.to.address, action, AnnouncementReceived{action.announcement});
     }
 
