--- a/packages/core/src/dispatch.cpp
+++ b/packages/core/src/dispatch.cpp
@@ -156,7 +156,7 @@
 
     void perform(CommitClaims &&order) { this->actions.push_back(std::move(order)); }
     void perform(ReadClaimRow &&order) { this->actions.push_back(std::move(order)); }
-    void perform(LoadClaims &&order) { this->actions.push_back(std::move(order)); }
+    void perform(LoadClaims &&order) { this->actions.emplace_back(order); }
     void perform(AnswerAttempt &&order) { this->answer(order.attempt, order.answer); }
 
     void perform(RouteAgain &&order)
