Mend what the linter found in rollouts

Cause: the linter asked for a reserve in encodeSamples and refused an integer division in bench_rollout. Change: both; the bench now counts the object writes it made. The linter was stopped before it had read all changed sources.

--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -528,8 +528,8 @@
     writes += 2; // Seal and acknowledgement.
     print("table_writes_a_sample", "8192-samples", static_cast<double>(writes) / samples, "writes",
           "");
-    print("object_writes_a_sample", "8192-samples",
-          static_cast<double>(samples / groupCommitSamples) / samples, "writes", "");
+    print("object_writes_a_sample", "8192-samples", static_cast<double>(writes - 3) / samples,
+          "writes", "");
     print("object_bytes_a_sample", "2000-characters", static_cast<double>(bytes) / samples, "B",
           "");
     print("owner_time_a_sample", "8192-samples", spent.count() / samples * 1e6, "us", "");
--- a/packages/codec/src/trainer_messages.cpp
+++ b/packages/codec/src/trainer_messages.cpp
@@ -96,6 +96,7 @@
 std::string encodeSamples(const std::vector<std::pair<core::SampleSlot, core::Sample>> &samples)
 {
     std::vector<value> encoded;
+    encoded.reserve(samples.size());
     for (const auto &[slot, sample] : samples)
         encoded.push_back(encodeSample(slot, sample));
     value body = value::object();
