--- a/packages/codec/src/engine_messages.cpp
+++ b/packages/codec/src/engine_messages.cpp
@@ -155,13 +155,13 @@
     value row = value::object();
     row["version"] = value::number(core::number(commit.version));
     const std::string key = weightsRowKey(commit.model);
-    return {{{key, commit.rowVersion}}, {{key, row.serialize()}}};
+    return {{{key, commit.rowVersion}}, {{key, row.serialize()}}, {}};
 }
 
 TableTransaction claimTransaction(const core::WriteGroupClaim &claim)
 {
     const std::string key = claimRowKey(claim.key);
-    return {{{key, claim.rowVersion}}, {{key, claim.claim}}};
+    return {{{key, claim.rowVersion}}, {{key, claim.claim}}, {}};
 }
 
 core::Result<core::DesiredWeights> decodeWeightsRow(const std::string &body)
--- a/packages/core/include/geraniumpulley/core/configuration.hpp
+++ b/packages/core/include/geraniumpulley/core/configuration.hpp
@@ -26,6 +26,12 @@
     bool repeatable = false;
 };
 
+/// What becomes of a call that may not be repeated and carries no idempotency key.
+enum class WithoutKey {
+    Refuse, ///< It is refused as not run.
+    Derive, ///< Its content is its key: a retyped order gets the first one's answer.
+};
+
 struct Service
 {
     ServiceName name;
@@ -34,7 +40,8 @@
     std::vector<CallRule> calls;
     std::uint32_t maxInFlight = 32; ///< Requests at one target at a time.
     Duration timeout = std::chrono::seconds(5); ///< Used where a caller names no deadline.
-    std::uint32_t minServingPercent = 75; ///< Engines that serve while others swap weights.
+    WithoutKey withoutKey = WithoutKey::Refuse;
+    std::uint32_t minServingPercent = 60; ///< Engines that serve while others swap weights.
     std::uint32_t weightLoadsAtOnce = 4; ///< Loads that the weight store serves at a time.
     bool checksFencing = false; ///< Its engines refuse orders with an old fencing number.
 };
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 
 #include <functional>
+#include <future>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,6 +24,8 @@
 
 using runtime::field;
 
+constexpr core::Duration releaseLimit = std::chrono::seconds(3);
+constexpr core::Duration dispatchPeriod = std::chrono::milliseconds(10);
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
 constexpr core::Duration enginesPeriod = std::chrono::milliseconds(250);
 
@@ -64,6 +67,7 @@
     // Sources of events stop before the duties that take them, parts after the duties use them.
     ~Implementation()
     {
+        this->releaseLeases();
         this->timer.stop();
         this->parts.control.stop();
         this->parts.engines.stop();
@@ -85,10 +89,10 @@
                               withPort(this->settings.peersAddress, this->parts.peers->port()),
                               this->settings.dataCentre,
                               makeIncarnation()};
-        startDispatch(this->parts, self.id);
+        startDispatch(this->parts, self);
         startRollout(this->parts, self.id);
         startEngines(this->parts, self);
-        startControl(this->parts, {self, this->settings.seeds});
+        this->leasesReleased = startControl(this->parts, {self, this->settings.seeds});
         this->subscribeTicks();
         this->parts.logger.write(
                 "started", field("node", self.id.value), field("peers", self.address),
@@ -99,6 +103,16 @@
         return boost::outcome_v2::success();
     }
 
+    // Without an answer of the store the shards pass on when the lease has run out.
+    void releaseLeases()
+    {
+        if (!this->leasesReleased.valid())
+            return;
+        this->parts.control.inbox().push(core::LeaseEvent{core::LeaseReleaseAsked{}});
+        if (this->leasesReleased.wait_for(releaseLimit) != std::future_status::ready)
+            this->parts.logger.write("leases_not_released");
+    }
+
     core::Result<void> openParts()
     {
         Parts &parts = this->parts;
@@ -137,6 +151,10 @@
         this->timer.subscribe(this->settings.controlPeriod, [this] {
             static_cast<void>(this->parts.control.inbox().tryPush(core::ControlTick{}));
         });
+        this->timer.subscribe(dispatchPeriod, [this] {
+            static_cast<void>(
+                    this->parts.dispatch.inbox().tryPush(core::DispatchTick{runtime::wallNow()}));
+        });
         this->timer.subscribe(rolloutPeriod, [this] {
             static_cast<void>(this->parts.rollout.inbox().tryPush(core::RolloutTick{}));
         });
@@ -147,6 +165,7 @@
 
     Settings settings;
     Parts parts;
+    std::future<void> leasesReleased;
     runtime::TimerService timer;
 };
 
