Drive the decisions by scenarios on a virtual clock

Cause: nothing showed that the promises hold over kills, freezes, cuts and outages of the store; unit tests see one decision at a time.

Change: a language of a few verbs (tests/scenarios/command.cpp holds the table), a seeded virtual clock, fakes for store, VM list, links and targets, and one overload for each action of the core.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	BUILD_DIR=$(BUILD_DIR) scripts/demo.sh
 
 test: build
-	ctest --test-dir $(BUILD_DIR) --output-on-failure --no-tests=error -j 4
+	scripts/test.sh $(BUILD_DIR)
 
 bench: build
 	BUILD_DIR=$(BUILD_DIR) scripts/bench.sh
--- /dev/null
+++ b/tests/scenarios/command.cpp
@@ -0,0 +1,213 @@
+#include "command.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <sstream>
+
+namespace scenario {
+namespace {
+
+using geraniumpulley::core::Duration;
+using Words = std::vector<std::string>;
+
+constexpr const char *optionMark = "[";
+
+Words split(const std::string &line)
+{
+    std::istringstream stream(line.substr(0, line.find('#')));
+    Words words;
+    for (std::string word; stream >> word;)
+        words.push_back(word);
+    return words;
+}
+
+bool isPlaceholder(const std::string &word)
+{
+    return std::isupper(static_cast<unsigned char>(word.front())) != 0;
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text, std::size_t &used)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    used = static_cast<std::size_t>(end - text.data());
+    return error == std::errc{} ? std::optional(number) : std::nullopt;
+}
+
+std::optional<Duration> parseDuration(const std::string &text)
+{
+    std::size_t used = 0;
+    const auto number = parseNumber(text, used);
+    if (!number)
+        return std::nullopt;
+    const auto count = static_cast<Duration::rep>(*number);
+    const std::string unit = text.substr(used);
+    if (unit == "us")
+        return std::chrono::microseconds(count);
+    if (unit == "ms")
+        return std::chrono::milliseconds(count);
+    if (unit == "s")
+        return std::chrono::seconds(count);
+    if (unit == "min")
+        return std::chrono::minutes(count);
+    return std::nullopt;
+}
+
+bool isWhole(const std::string &text)
+{
+    std::size_t used = 0;
+    return parseNumber(text, used) && used == text.size();
+}
+
+bool fits(const std::string &placeholder, const std::string &word)
+{
+    if (placeholder == "DURATION")
+        return parseDuration(word).has_value();
+    if (placeholder == "NUMBER" || placeholder == "GROUPS" || placeholder == "SIZE")
+        return isWhole(word);
+    return true;
+}
+
+// Optional parts are pairs of a literal and a placeholder, in brackets, in any order.
+bool matchOptions(const Words &pattern, std::size_t from, const Words &words, Command &command)
+{
+    if ((words.size() - from) % 2 != 0)
+        return false;
+    for (std::size_t i = from; i < words.size(); i += 2) {
+        const auto option = std::find(pattern.begin(), pattern.end(), optionMark + words[i]);
+        if (option == pattern.end())
+            return false;
+        const std::string placeholder = std::next(option)->substr(0, std::next(option)->size() - 1);
+        const bool isNew = command.words.emplace(placeholder, words[i + 1]).second;
+        if (!isNew || !fits(placeholder, words[i + 1]))
+            return false;
+    }
+    return true;
+}
+
+bool matches(const std::string &patternText, const Words &words, Command &command)
+{
+    const Words pattern = split(patternText);
+    command.pattern = patternText;
+    command.words.clear();
+    for (std::size_t i = 0; i < pattern.size(); ++i) {
+        if (pattern[i].starts_with(optionMark))
+            return matchOptions(pattern, i, words, command);
+        if (i >= words.size())
+            return false;
+        if (!isPlaceholder(pattern[i])) {
+            if (pattern[i] != words[i])
+                return false;
+        } else if (fits(pattern[i], words[i])) {
+            command.words[pattern[i]] = words[i];
+        } else {
+            return false;
+        }
+    }
+    return words.size() == pattern.size();
+}
+
+std::string describeProblem(std::size_t line, const Words &words)
+{
+    const std::string place = "line " + std::to_string(line) + ": ";
+    std::string usages;
+    for (const std::string &pattern : patterns()) {
+        if (split(pattern).front() == words.front())
+            usages += (usages.empty() ? "" : " | ") + pattern;
+    }
+    if (usages.empty())
+        return place + "unknown verb '" + words.front() + "'";
+    return place + "usage: " + usages;
+}
+
+} // namespace
+
+const std::vector<std::string> &patterns()
+{
+    static const std::vector<std::string> table = {
+            "node NODE in CENTRE",
+            "target TARGET runs SERVICE in CENTRE",
+            "submit NAME FILE at NODE by AUTHOR on NUMBER",
+            "call NAME SERVICE METHOD PATH at NODE [key KEY] [within DURATION]",
+            "open NAME TRAINER NUMBER at NODE groups GROUPS size SIZE version VERSION",
+            "follow NAME at NODE",
+            "kill PART",
+            "freeze PART",
+            "wake PART",
+            "start PART",
+            "leave TARGET",
+            "weights TARGET NUMBER",
+            "slow TARGET DURATION",
+            "answers TARGET FAULT",
+            "mark TARGET",
+            "cut PLACE OTHER",
+            "mend PLACE OTHER",
+            "store down",
+            "store up",
+            "store slow DURATION",
+            "store loses answers",
+            "store loses requests",
+            "vms lag DURATION",
+            "advance DURATION",
+            "expect version NODE VALUE [within DURATION]",
+            "expect ready NODE VALUE [within DURATION]",
+            "expect nodes NODE VALUE [within DURATION]",
+            "expect targets NODE VALUE [within DURATION]",
+            "expect verdict NAME VALUE [within DURATION]",
+            "expect outcome NAME VALUE [within DURATION]",
+            "expect reason NAME VALUE [within DURATION]",
+            "expect step NAME VALUE [within DURATION]",
+            "expect runs NAME VALUE [within DURATION]",
+            "expect work TARGET VALUE [within DURATION]",
+            "expect audit rows VALUE [within DURATION]",
+    };
+    return table;
+}
+
+ParsedScenario parseScenario(const std::string &text)
+{
+    ParsedScenario parsed;
+    std::istringstream stream(text);
+    std::size_t number = 0;
+    for (std::string line; std::getline(stream, line);) {
+        ++number;
+        const Words words = split(line);
+        if (words.empty())
+            continue;
+        Command command;
+        command.line = number;
+        const bool known =
+                std::any_of(patterns().begin(), patterns().end(), [&](const std::string &pattern) {
+                    return matches(pattern, words, command);
+                });
+        if (known)
+            parsed.commands.push_back(command);
+        else
+            parsed.problems.push_back(describeProblem(number, words));
+    }
+    return parsed;
+}
+
+bool Command::has(const std::string &placeholder) const
+{
+    return this->words.contains(placeholder);
+}
+
+const std::string &Command::word(const std::string &placeholder) const
+{
+    return this->words.at(placeholder);
+}
+
+std::uint64_t Command::number(const std::string &placeholder) const
+{
+    return std::stoull(this->word(placeholder));
+}
+
+Duration Command::duration(const std::string &placeholder) const
+{
+    return parseDuration(this->word(placeholder)).value();
+}
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenarios/world.cpp
@@ -0,0 +1,263 @@
+#include "world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace scenario {
+namespace {
+
+constexpr Duration insideDataCentre = std::chrono::microseconds(200);
+constexpr Duration betweenDataCentres = std::chrono::microseconds(1500);
+constexpr Duration toClients = std::chrono::milliseconds(3);
+constexpr Duration threadHop = std::chrono::microseconds(20);
+constexpr Duration controlPeriod = std::chrono::seconds(1);
+constexpr Duration rolloutPeriod = std::chrono::milliseconds(500);
+
+} // namespace
+
+World::World(std::uint64_t seed) : simulation(seed), store{this->simulation}
+{
+    this->client.name = "client";
+    this->vmLists[Time::min()] = {};
+}
+
+void World::addNode(const std::string &name, const std::string &dataCentre)
+{
+    auto node = std::make_unique<NodeProcess>();
+    node->name = name;
+    node->dataCentre = dataCentre;
+    node->incarnation = 0;
+    for (const auto &[other, process] : this->nodes)
+        node->seeds.push_back(other);
+    this->nodes[name] = std::move(node);
+    this->start(name);
+}
+
+void World::addTarget(const std::string &name, const std::string &service,
+                      const std::string &dataCentre)
+{
+    auto process = std::make_unique<TargetProcess>();
+    process->name = name;
+    process->dataCentre = dataCentre;
+    process->target = core::Target{{name}, {service}, name, dataCentre, false};
+    std::vector<core::Target> list = this->vmLists.rbegin()->second;
+    list.push_back(process->target);
+    this->vmLists[this->simulation.now] = list;
+    this->targets[name] = std::move(process);
+}
+
+void World::start(const std::string &name)
+{
+    Process &process = this->process(name);
+    ++process.incarnation;
+    process.alive = true;
+    process.frozen = false;
+    process.held.clear();
+    this->simulation.record(fmt::format("{} starts", name));
+    const auto position = this->nodes.find(name);
+    if (position == this->nodes.end())
+        return;
+    NodeProcess &node = *position->second;
+    node.self = core::Node{{name}, name, node.dataCentre, node.incarnation};
+    core::ControlSettings settings;
+    settings.self = node.self;
+    settings.seeds = node.seeds;
+    node.control = core::makeControlState(settings);
+    node.dispatch = core::makeDispatchState(node.self.id);
+    node.rollout = core::makeRolloutState(node.self.id);
+    node.highestInForce = {};
+    this->tick(node, node.incarnation);
+}
+
+void World::kill(const std::string &name)
+{
+    Process &process = this->process(name);
+    process.alive = false;
+    process.held.clear();
+    this->simulation.record(fmt::format("{} is killed", name));
+    const auto broken = std::exchange(process.openExchanges, {});
+    for (const std::function<void()> &breakExchange : broken)
+        breakExchange();
+}
+
+void World::freeze(const std::string &name)
+{
+    this->process(name).frozen = true;
+    this->simulation.record(fmt::format("{} freezes", name));
+}
+
+void World::wake(const std::string &name)
+{
+    Process &process = this->process(name);
+    process.frozen = false;
+    this->simulation.record(fmt::format("{} wakes", name));
+    const auto held = std::exchange(process.held, {});
+    for (const std::function<void()> &event : held)
+        event();
+}
+
+void World::leave(const std::string &target)
+{
+    std::vector<core::Target> list = this->vmLists.rbegin()->second;
+    for (core::Target &candidate : list)
+        candidate.leaving = candidate.leaving || candidate.id.value == target;
+    this->vmLists[this->simulation.now] = list;
+    this->simulation.record(fmt::format("{} is leaving", target));
+}
+
+void World::cut(const std::string &place, const std::string &other)
+{
+    this->cuts.insert(std::minmax(place, other));
+    this->simulation.record(fmt::format("{} and {} lose each other", place, other));
+}
+
+void World::mend(const std::string &place, const std::string &other)
+{
+    this->cuts.erase(std::minmax(place, other));
+    this->simulation.record(fmt::format("{} and {} meet again", place, other));
+}
+
+NodeProcess &World::node(const std::string &name)
+{
+    return *this->nodes.at(name);
+}
+
+TargetProcess &World::target(const std::string &name)
+{
+    return *this->targets.at(name);
+}
+
+Process &World::process(const std::string &name)
+{
+    const auto node = this->nodes.find(name);
+    if (node != this->nodes.end())
+        return *node->second;
+    return *this->targets.at(name);
+}
+
+std::uint64_t World::runsOf(const std::string &identity) const
+{
+    std::uint64_t runs = 0;
+    for (const auto &[name, target] : this->targets) {
+        const auto entry = target->ledger.find(identity);
+        runs += entry == target->ledger.end() ? 0 : entry->second;
+    }
+    return runs;
+}
+
+bool World::isCut(const Process &from, const Process &to) const
+{
+    return this->cuts.contains(std::minmax(from.name, to.name))
+           || this->cuts.contains(std::minmax(from.dataCentre, to.dataCentre));
+}
+
+Duration World::latency(const Process &from, const Process &to)
+{
+    if (from.dataCentre.empty() || to.dataCentre.empty())
+        return this->simulation.jitter(toClients);
+    return this->simulation.jitter(from.dataCentre == to.dataCentre ? insideDataCentre
+                                                                    : betweenDataCentres);
+}
+
+void World::post(Process &process, std::uint64_t incarnation, std::function<void()> event)
+{
+    if (!process.alive || process.incarnation != incarnation)
+        return;
+    if (process.frozen)
+        process.held.push_back(std::move(event));
+    else
+        event();
+}
+
+// An answer that comes after the failure was told is dropped, as the caller of HTTP does it.
+void World::exchange(Process &from, const std::string &to, Time deadline, Exchange exchange)
+{
+    auto finished = std::make_shared<bool>(false);
+    const auto finish = [this, finished, &from,
+                         incarnation = from.incarnation](std::function<void()> deliver) {
+        if (std::exchange(*finished, true))
+            return;
+        this->post(from, incarnation, std::move(deliver));
+    };
+    const auto fail = [finish, failed = std::move(exchange.failed)](ExchangeFailure failure) {
+        finish([failed, failure] { failed(failure); });
+    };
+    this->simulation.at(deadline, [fail] { fail(ExchangeFailure::Lost); });
+    Process &destination = this->process(to);
+    const auto arrive = [this, &from, &destination, finish, fail,
+                         serve = std::move(exchange.serve)] {
+        if (this->isCut(from, destination))
+            return;
+        if (!destination.alive)
+            return fail(ExchangeFailure::NotSent);
+        destination.openExchanges.push_back([fail] { fail(ExchangeFailure::Lost); });
+        const Answer answer = [this, &from, &destination,
+                               finish](const std::function<void()> &deliver) {
+            this->simulation.after(this->latency(destination, from),
+                                   [this, &from, &destination, finish, deliver] {
+                                       if (!this->isCut(destination, from))
+                                           finish(deliver);
+                                   });
+        };
+        this->post(destination, destination.incarnation, [serve, answer] { serve(answer); });
+    };
+    this->simulation.after(this->latency(from, destination), arrive);
+}
+
+// A step's actions are performed a moment later, so that a freeze or a kill may fall between a
+// decision and its effect. One thread performs them, so they keep their order.
+template<typename Event, typename State>
+void World::run(NodeProcess &node, State &state, const Event &event)
+{
+    auto actions = core::step(state, event, this->simulation.now);
+    if (actions.empty())
+        return;
+    this->simulation.after(this->simulation.jitter(threadHop), [this, &node,
+                                                                incarnation = node.incarnation,
+                                                                actions = std::move(actions)] {
+        this->post(node, incarnation, [this, &node, actions] {
+            for (const auto &action : actions)
+                std::visit([&](const auto &content) { perform(*this, node, content); }, action);
+        });
+    });
+}
+
+void World::deliver(NodeProcess &node, const core::ControlEvent &event)
+{
+    this->run(node, node.control, event);
+    const core::ConfigurationVersion version = core::versionInForce(node.control);
+    if (version < node.highestInForce)
+        this->violations.push_back(node.name + " went back to an older configuration");
+    node.highestInForce = std::max(node.highestInForce, version);
+}
+
+void World::deliver(NodeProcess &node, const core::DispatchEvent &event)
+{
+    this->run(node, node.dispatch, event);
+}
+
+void World::deliver(NodeProcess &node, const core::RolloutEvent &event)
+{
+    this->run(node, node.rollout, event);
+}
+
+// A frozen process leaves ticks out, as the timer service does when a ring does not move.
+void World::tick(NodeProcess &node, std::uint64_t incarnation)
+{
+    if (!node.alive || node.incarnation != incarnation)
+        return;
+    if (!node.frozen) {
+        this->deliver(node, core::ControlEvent{core::ControlTick{}});
+        this->deliver(node, core::RolloutEvent{core::RolloutTick{}});
+        this->simulation.after(rolloutPeriod, [this, &node, incarnation] {
+            this->post(node, incarnation, [this, &node] {
+                this->deliver(node, core::RolloutEvent{core::RolloutTick{}});
+            });
+        });
+    }
+    const Duration delay = controlPeriod - this->simulation.jitter(std::chrono::milliseconds(50));
+    this->simulation.after(delay, [this, &node, incarnation] { this->tick(node, incarnation); });
+}
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenarios/world.hpp
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "fake_store.hpp"
+#include "process.hpp"
+#include "simulation.hpp"
+
+#include <geraniumpulley/core/control.hpp>
+#include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/rollout.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// The nodes' decisions on a virtual clock, with fakes for everything that they act upon.
+namespace scenario {
+
+namespace core = geraniumpulley::core;
+
+/// One run of the node program: the states of its duties.
+struct NodeProcess : Process
+{
+    core::Node self;
+    std::vector<std::string> seeds;
+    core::ControlState control;
+    core::DispatchState dispatch;
+    core::RolloutState rollout;
+    core::ConfigurationVersion highestInForce{}; ///< Of this run.
+};
+
+/// What an engine made, as it knows it itself.
+struct Generation
+{
+    core::SampleSlot slot;
+    std::vector<core::VersionSpan> spans;
+};
+
+enum class AnswerFault { Normal, Doubled, Short, Lost };
+
+struct TargetProcess : Process
+{
+    core::Target target;
+    std::map<Time, std::uint64_t> weights{{Time::min(), 1}};
+    Duration slowness{};
+    AnswerFault fault = AnswerFault::Normal;
+    std::map<std::string, std::uint64_t> ledger = {}; ///< Runs of each request.
+    std::uint64_t workTaken = 0;
+    std::uint64_t workAtMark = 0;
+};
+
+struct SubmissionRecord
+{
+    std::string verdict = "pending";
+};
+
+struct CallRecord
+{
+    std::string identity; ///< What the caller means to happen once; its key if it has one.
+    bool repeatable = false;
+    std::string outcome = "pending";
+    std::string reason = "pending";
+    std::string body = {};
+};
+
+struct StepRecord
+{
+    core::StepOrder order;
+    std::string node;
+    std::string state = "open";
+    std::uint64_t stalenessBound = 0;
+    std::vector<std::vector<std::pair<core::SampleSlot, core::Sample>>> handedOver = {};
+};
+
+struct World
+{
+    explicit World(std::uint64_t seed);
+
+    void addNode(const std::string &name, const std::string &dataCentre);
+    void addTarget(const std::string &name, const std::string &service,
+                   const std::string &dataCentre);
+    void start(const std::string &name);
+    void kill(const std::string &name);
+    void freeze(const std::string &name);
+    void wake(const std::string &name);
+    void leave(const std::string &target);
+    void cut(const std::string &place, const std::string &other);
+    void mend(const std::string &place, const std::string &other);
+
+    void submit(const std::string &name, const std::string &node,
+                const core::ConfigurationDocument &document, core::ConfigurationVersion base);
+    void call(const std::string &name, const std::string &node, core::Call call, Duration timeout);
+    void openStep(const std::string &name, const std::string &node, const core::StepOrder &order);
+
+    NodeProcess &node(const std::string &name);
+    TargetProcess &target(const std::string &name);
+    Process &process(const std::string &name);
+    /// \return how often the targets ran a request.
+    std::uint64_t runsOf(const std::string &identity) const;
+
+    // For the overloads that perform actions.
+
+    /// Runs `event` in a process: later if it is frozen, never if its run has ended.
+    void post(Process &process, std::uint64_t incarnation, std::function<void()> event);
+    void deliver(NodeProcess &node, const core::ControlEvent &event);
+    void deliver(NodeProcess &node, const core::DispatchEvent &event);
+    void deliver(NodeProcess &node, const core::RolloutEvent &event);
+    void exchange(Process &from, const std::string &to, Time deadline, Exchange exchange);
+    void listTargets(NodeProcess &node);
+    void poll(const std::string &step);
+
+    Simulation simulation;
+    FakeStore store;
+    Process client; ///< Callers, trainers and operators.
+    std::map<std::string, std::unique_ptr<NodeProcess>> nodes;
+    std::map<std::string, std::unique_ptr<TargetProcess>> targets;
+    std::map<Time, std::vector<core::Target>> vmLists;
+    Duration vmListLag{};
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::uint64_t nextToken = 1;
+    std::map<core::ReplyToken, std::function<void(const core::AnswerSubmission &)>>
+            submissionReplies;
+    std::map<core::ReplyToken, std::function<void(const core::CallAnswer &)>> callReplies;
+    std::map<core::ReplyToken, std::function<void(const core::StepAnswer &)>> stepReplies;
+    std::map<std::string, SubmissionRecord> submissions;
+    std::map<std::string, CallRecord> calls;
+    std::map<std::string, StepRecord> steps;
+    std::map<std::string, Generation> generations; ///< By text; the engines' ledger.
+    std::vector<std::string> violations; ///< Of promises that hold in every scenario.
+
+    core::ReplyToken makeToken() { return core::ReplyToken{this->nextToken++}; }
+
+private:
+    bool isCut(const Process &from, const Process &to) const;
+    Duration latency(const Process &from, const Process &to);
+    void tick(NodeProcess &node, std::uint64_t incarnation);
+    void onStepAnswer(const std::string &name, const core::StepAnswer &answer);
+    template<typename Event, typename State>
+    void run(NodeProcess &node, State &state, const Event &event);
+};
+
+// One overload for each action; a new action is a compile error until it has one.
+void perform(World &world, NodeProcess &node, const core::CommitConfiguration &action);
+void perform(World &world, NodeProcess &node, const core::ReadConfiguration &action);
+void perform(World &world, NodeProcess &node, const core::ListTargets &action);
+void perform(World &world, NodeProcess &node, const core::SendAnnouncement &action);
+void perform(World &world, NodeProcess &node, const core::SendDocument &action);
+void perform(World &world, NodeProcess &node, const core::AnswerSubmission &action);
+void perform(World &world, NodeProcess &node, const core::AnswerStatus &action);
+void perform(World &world, NodeProcess &node, const core::PutInForce &action);
+void perform(World &world, NodeProcess &node, const core::PublishView &action);
+void perform(World &world, NodeProcess &node, const core::SendToTarget &action);
+void perform(World &world, NodeProcess &node, const core::ForwardCall &action);
+void perform(World &world, NodeProcess &node, const core::AnswerCall &action);
+void perform(World &world, NodeProcess &node, const core::Generate &action);
+void perform(World &world, NodeProcess &node, const core::Score &action);
+void perform(World &world, NodeProcess &node, const core::StoreBatch &action);
+void perform(World &world, NodeProcess &node, const core::ForwardStep &action);
+void perform(World &world, NodeProcess &node, const core::AnswerStep &action);
+
+/// Checks what must hold at the end of every scenario and adds to `world.violations`.
+void checkPromises(World &world);
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenarios/world_control.cpp
@@ -0,0 +1,166 @@
+#include "world.hpp"
+
+#include <geraniumpulley/codec/operator_messages.hpp>
+
+#include <fmt/format.h>
+
+/// Performs the actions of the control duty, as node/control_duty does.
+namespace scenario {
+namespace {
+
+using namespace geraniumpulley;
+
+constexpr Duration peerTimeout = std::chrono::seconds(2);
+constexpr Duration operatorTimeout = std::chrono::minutes(1);
+
+core::ControlEvent commitEvent(core::OperationId operation, CommitResult result)
+{
+    if (result == CommitResult::Committed)
+        return core::CommitSucceeded{operation};
+    if (result == CommitResult::Refused)
+        return core::CommitRefused{operation};
+    return core::CommitUncertain{operation};
+}
+
+void sendPeer(World &world, NodeProcess &node, const core::Node &to,
+              const core::ControlEvent &event)
+{
+    const auto destination = world.nodes.find(to.address);
+    if (destination == world.nodes.end())
+        return;
+    NodeProcess &peer = *destination->second;
+    world.exchange(node, peer.name, world.simulation.now + peerTimeout,
+                   {[&world, &peer, event](const Answer &answer) {
+                        answer([] {});
+                        world.deliver(peer, event);
+                    },
+                    [](ExchangeFailure) {}});
+}
+
+} // namespace
+
+void World::submit(const std::string &name, const std::string &node,
+                   const core::ConfigurationDocument &document, core::ConfigurationVersion base)
+{
+    this->submissions[name] = {};
+    const auto finish = [this, name](const std::string &verdict) {
+        this->submissions[name].verdict = verdict;
+        this->simulation.record(fmt::format("operator: {} is {}", name, verdict));
+    };
+    NodeProcess &process = this->node(node);
+    this->exchange(
+            this->client, node, this->simulation.now + operatorTimeout,
+            {[this, &process, document, base, finish](const Answer &answer) {
+                 const core::ReplyToken token = this->makeToken();
+                 this->submissionReplies[token] = [answer,
+                                                   finish](const core::AnswerSubmission &reply) {
+                     answer([finish, reply] { finish(codec::nameOf(reply.verdict)); });
+                 };
+                 this->deliver(process, core::ControlEvent{core::SubmissionReceived{
+                                                token, base, document, {}}});
+             },
+             [finish](ExchangeFailure) { finish("unanswered"); }});
+}
+
+void perform(World &world, NodeProcess &node, const core::CommitConfiguration &action)
+{
+    world.simulation.record(fmt::format("{} -> store: commit version {} by {}", node.name,
+                                        core::number(action.document.version),
+                                        action.document.author));
+    world.store.transact(codec::configurationTransaction(action),
+                         [&world, &node, incarnation = node.incarnation,
+                          operation = action.operation](CommitResult result) {
+                             world.post(node, incarnation, [&world, &node, operation, result] {
+                                 world.deliver(node, commitEvent(operation, result));
+                             });
+                         });
+}
+
+void perform(World &world, NodeProcess &node, const core::ReadConfiguration &)
+{
+    world.store.read(codec::configurationRowKey, [&world, &node, incarnation = node.incarnation](
+                                                         const auto &rows) {
+        if (!rows)
+            return world.simulation.recordChange(node.name + " store",
+                                                 node.name + " reads no answer from store");
+        core::ConfigurationRead read;
+        if (!rows->empty()) {
+            auto document = codec::decodeConfigurationRow(rows->front().value);
+            if (!document)
+                return world.violations.push_back("the stored configuration is malformed");
+            read.document = document.value();
+        }
+        world.simulation.recordChange(node.name + " store", node.name + " reads the store");
+        world.post(node, incarnation,
+                   [&world, &node, read] { world.deliver(node, core::ControlEvent{read}); });
+    });
+}
+
+void perform(World &world, NodeProcess &node, const core::ListTargets &)
+{
+    world.listTargets(node);
+}
+
+void World::listTargets(NodeProcess &node)
+{
+    if (this->store.fault == StoreFault::Down)
+        return;
+    const auto list = std::prev(this->vmLists.upper_bound(this->simulation.now - this->vmListLag));
+    this->simulation.after(this->simulation.jitter(std::chrono::milliseconds(4)),
+                           [this, &node, incarnation = node.incarnation, targets = list->second] {
+                               this->post(node, incarnation, [this, &node, targets] {
+                                   this->deliver(node,
+                                                 core::ControlEvent{core::TargetsListed{targets}});
+                               });
+                           });
+}
+
+void perform(World &world, NodeProcess &node, const core::SendAnnouncement &action)
+{
+    const core::Announcement &announcement = action.announcement;
+    world.simulation.recordChange(
+            node.name + " announcement " + action.to.address,
+            fmt::format("{} -> {}: announcement version {} nodes {}", node.name, action.to.address,
+                        core::number(announcement.version), announcement.nodes.size()));
+    sendPeer(world, node, action.to, core::AnnouncementReceived{announcement});
+}
+
+void perform(World &world, NodeProcess &node, const core::SendDocument &action)
+{
+    world.simulation.record(fmt::format("{} -> {}: document version {}", node.name,
+                                        action.to.address, core::number(action.document.version)));
+    sendPeer(world, node, action.to, core::DocumentReceived{action.document});
+}
+
+void perform(World &world, NodeProcess &node, const core::AnswerSubmission &action)
+{
+    world.simulation.record(fmt::format("{} log: event=submission_answered verdict={} version={}",
+                                        node.name, codec::nameOf(action.verdict),
+                                        core::number(action.version)));
+    const auto reply = world.submissionReplies.extract(action.reply);
+    if (!reply.empty())
+        reply.mapped()(action);
+}
+
+// Scenarios look at the state itself instead of asking for it.
+void perform(World &, NodeProcess &, const core::AnswerStatus &) { }
+
+void perform(World &world, NodeProcess &node, const core::PutInForce &action)
+{
+    world.simulation.record(fmt::format("{} log: event=configuration_in_force version={} author={}",
+                                        node.name, core::number(action.document.version),
+                                        action.document.author));
+    const auto &configuration = action.document.configuration;
+    world.deliver(node, core::DispatchEvent{core::DispatchConfigurationChanged{configuration}});
+    world.deliver(node, core::RolloutEvent{core::RolloutConfigurationChanged{configuration}});
+}
+
+void perform(World &world, NodeProcess &node, const core::PublishView &action)
+{
+    world.simulation.record(fmt::format("{} log: event=view_changed nodes={} targets={}", node.name,
+                                        action.view->nodes.size(), action.view->targets.size()));
+    world.deliver(node, core::DispatchEvent{core::DispatchViewChanged{action.view}});
+    world.deliver(node, core::RolloutEvent{core::RolloutViewChanged{action.view}});
+}
+
+} // namespace scenario
