--- a/tests/scenarios/fake_store.cpp
+++ b/tests/scenarios/fake_store.cpp
@@ -31,7 +31,7 @@
     });
 }
 
-CommitResult FakeStore::commit(const codec::TableTransaction &transaction)
+core::CommitResult FakeStore::commit(const codec::TableTransaction &transaction)
 {
     const bool holds = std::all_of(
             transaction.checks.begin(), transaction.checks.end(), [this](const auto &check) {
@@ -39,34 +39,34 @@
                 return check.version == (row == this->rows.end() ? 0 : row->second.version);
             });
     if (!holds)
-        return CommitResult::Refused;
+        return core::CommitResult::Refused;
     for (const codec::RowWrite &write : transaction.writes) {
         codec::TableRow &row = this->rows[write.key];
         row.key = write.key;
         row.value = write.value;
         ++row.version;
     }
-    return CommitResult::Committed;
+    return core::CommitResult::Committed;
 }
 
 void FakeStore::transact(const codec::TableTransaction &transaction,
-                         std::function<void(CommitResult)> done)
+                         std::function<void(core::CommitResult)> done)
 {
-    auto result = std::make_shared<CommitResult>(CommitResult::Unanswered);
+    auto result = std::make_shared<core::CommitResult>(core::CommitResult::Uncertain);
     this->perform([this, transaction, result] { *result = this->commit(transaction); },
                   [done = std::move(done), result](bool answered) {
-                      done(answered ? *result : CommitResult::Unanswered);
+                      done(answered ? *result : core::CommitResult::Uncertain);
                   });
 }
 
-void FakeStore::read(const std::string &prefix,
-                     std::function<void(std::optional<std::vector<codec::TableRow>>)> done)
+void FakeStore::select(const std::function<bool(const std::string &)> &wanted,
+                       std::function<void(std::optional<std::vector<codec::TableRow>>)> done)
 {
     auto found = std::make_shared<std::vector<codec::TableRow>>();
     this->perform(
-            [this, prefix, found] {
+            [this, wanted, found] {
                 for (const auto &[key, row] : this->rows) {
-                    if (key.starts_with(prefix))
+                    if (wanted(key))
                         found->push_back(row);
                 }
             },
@@ -75,6 +75,19 @@
             });
 }
 
+void FakeStore::read(const std::string &prefix,
+                     std::function<void(std::optional<std::vector<codec::TableRow>>)> done)
+{
+    this->select([prefix](const std::string &key) { return key.starts_with(prefix); },
+                 std::move(done));
+}
+
+void FakeStore::readRow(const std::string &key,
+                        std::function<void(std::optional<std::vector<codec::TableRow>>)> done)
+{
+    this->select([key](const std::string &candidate) { return candidate == key; }, std::move(done));
+}
+
 void FakeStore::putObject(const std::string &key, std::string value, std::function<void(bool)> done)
 {
     this->perform([this, key, value = std::move(value)] { this->objects[key] = value; },
--- a/tests/scenarios/fake_store.hpp
+++ b/tests/scenarios/fake_store.hpp
@@ -3,6 +3,7 @@
 #include "simulation.hpp"
 
 #include <geraniumpulley/codec/platform_messages.hpp>
+#include <geraniumpulley/core/lease_manager.hpp>
 
 #include <map>
 #include <optional>
@@ -20,8 +21,6 @@
     LosesRequests, ///< The operation does not.
 };
 
-enum class CommitResult { Committed, Refused, Unanswered };
-
 struct FakeStore
 {
     Simulation &simulation;
@@ -31,18 +30,26 @@
     std::map<std::string, std::string> objects = {};
 
     void transact(const geraniumpulley::codec::TableTransaction &transaction,
-                  std::function<void(CommitResult)> done);
+                  std::function<void(geraniumpulley::core::CommitResult)> done);
     /// Gives nothing when the store does not answer.
     void
     read(const std::string &prefix,
          std::function<void(std::optional<std::vector<geraniumpulley::codec::TableRow>>)> done);
+    /// As `read`, for the row of one key.
+    void
+    readRow(const std::string &key,
+            std::function<void(std::optional<std::vector<geraniumpulley::codec::TableRow>>)> done);
     void putObject(const std::string &key, std::string value, std::function<void(bool)> done);
     void getObject(const std::string &key,
                    std::function<void(bool, std::optional<std::string>)> done);
 
 private:
+    void
+    select(const std::function<bool(const std::string &)> &wanted,
+           std::function<void(std::optional<std::vector<geraniumpulley::codec::TableRow>>)> done);
     void perform(std::function<void()> effect, std::function<void(bool)> done);
-    CommitResult commit(const geraniumpulley::codec::TableTransaction &transaction);
+    geraniumpulley::core::CommitResult
+    commit(const geraniumpulley::codec::TableTransaction &transaction);
 };
 
 } // namespace scenario
--- a/tests/scenarios/world.hpp
+++ b/tests/scenarios/world.hpp
@@ -152,6 +152,7 @@
 void perform(World &world, NodeProcess &node, const core::AnswerStatus &action);
 void perform(World &world, NodeProcess &node, const core::PutInForce &action);
 void perform(World &world, NodeProcess &node, const core::PublishView &action);
+void perform(World &world, NodeProcess &node, const core::LeaseAction &action);
 void perform(World &world, NodeProcess &node, const core::SendToTarget &action);
 void perform(World &world, NodeProcess &node, const core::ForwardCall &action);
 void perform(World &world, NodeProcess &node, const core::AnswerCall &action);
--- a/tests/scenarios/world_control.cpp
+++ b/tests/scenarios/world_control.cpp
@@ -13,11 +13,11 @@
 constexpr Duration peerTimeout = std::chrono::seconds(2);
 constexpr Duration operatorTimeout = std::chrono::minutes(1);
 
-core::ControlEvent commitEvent(core::OperationId operation, CommitResult result)
+core::ControlEvent commitEvent(core::OperationId operation, core::CommitResult result)
 {
-    if (result == CommitResult::Committed)
+    if (result == core::CommitResult::Committed)
         return core::CommitSucceeded{operation};
-    if (result == CommitResult::Refused)
+    if (result == core::CommitResult::Refused)
         return core::CommitRefused{operation};
     return core::CommitUncertain{operation};
 }
@@ -69,7 +69,7 @@
                                         action.document.author));
     world.store.transact(codec::configurationTransaction(action),
                          [&world, &node, incarnation = node.incarnation,
-                          operation = action.operation](CommitResult result) {
+                          operation = action.operation](core::CommitResult result) {
                              world.post(node, incarnation, [&world, &node, operation, result] {
                                  world.deliver(node, commitEvent(operation, result));
                              });
