--- a/tests/scenarios/fake_store.cpp
+++ b/tests/scenarios/fake_store.cpp
@@ -46,6 +46,8 @@
         row.value = write.value;
         ++row.version;
     }
+    for (const std::string &key : transaction.deletes)
+        this->rows.erase(key);
     return core::CommitResult::Committed;
 }
 
--- a/tests/scenarios/simulation.cpp
+++ b/tests/scenarios/simulation.cpp
@@ -17,6 +17,12 @@
     this->at(this->now + delay, std::move(event));
 }
 
+geraniumpulley::core::WallTime Simulation::wallNow() const
+{
+    constexpr auto start = std::chrono::sys_days{std::chrono::year{2026} / 3 / 2};
+    return start + this->now.time_since_epoch();
+}
+
 bool Simulation::runNext(Time limit)
 {
     if (this->events.empty() || this->events.begin()->first.first > limit) {
--- a/tests/scenarios/simulation.hpp
+++ b/tests/scenarios/simulation.hpp
@@ -25,6 +25,9 @@
     void at(Time time, std::function<void()> event);
     void after(Duration delay, std::function<void()> event);
 
+    /// \return the wall clock, which all processes share.
+    [[nodiscard]] geraniumpulley::core::WallTime wallNow() const;
+
     /// Runs the next event. \return false when the next one is later than `limit`; the clock then
     /// stands at `limit`.
     bool runNext(Time limit);
--- a/tests/scenarios/world_dispatch.cpp
+++ b/tests/scenarios/world_dispatch.cpp
@@ -1,11 +1,16 @@
 #include "world.hpp"
 
+#include <geraniumpulley/codec/claim_messages.hpp>
+
 #include <fmt/format.h>
 
 /// Performs the actions of the dispatch duty, as node/dispatch_duty does.
 namespace scenario {
 namespace {
 
+using namespace geraniumpulley;
+
+constexpr Duration lastAnswers = std::chrono::milliseconds(10);
 constexpr Duration serviceTime = std::chrono::milliseconds(5);
 
 core::AttemptFailure toAttemptFailure(ExchangeFailure failure)
@@ -28,6 +33,30 @@
     });
 }
 
+core::DispatchEvent claimsEvent(core::OperationId operation, core::CommitResult result)
+{
+    if (result == core::CommitResult::Committed)
+        return core::ClaimsCommitted{operation};
+    if (result == core::CommitResult::Refused)
+        return core::ClaimsRefused{operation};
+    return core::ClaimsUncertain{operation};
+}
+
+std::optional<std::vector<core::ClaimRow>>
+decodeRows(const std::optional<std::vector<geraniumpulley::codec::TableRow>> &rows)
+{
+    if (!rows)
+        return std::nullopt;
+    std::vector<core::ClaimRow> decoded;
+    for (const auto &row : *rows) {
+        auto claim = codec::decodeClaimRow(row);
+        if (!claim)
+            return std::nullopt;
+        decoded.push_back(claim.value());
+    }
+    return decoded;
+}
+
 core::DispatchEvent attemptResult(core::OperationId operation, AnswerFault fault,
                                   const std::string &body)
 {
@@ -49,6 +78,7 @@
         finished.outcome = outcome;
         finished.reason = reason;
         finished.body = body;
+        finished.runsAtAnswer = this->runsOf(finished.identity);
         this->simulation.record(fmt::format("caller: {} is {} ({})", name, outcome, reason));
     };
     this->simulation.record(fmt::format("caller -> {}: {} {} {}{}", node, name, call.method,
@@ -132,4 +162,54 @@
         reply.mapped()(action.answer);
 }
 
+void perform(World &world, NodeProcess &node, const core::CommitClaims &action)
+{
+    world.simulation.record(fmt::format("{} -> store: {} claims and {} answers of {}", node.name,
+                                        action.row.claims.size(), action.row.answers.size(),
+                                        core::nameOf(action.shard)));
+    world.store.transact(codec::claimTransaction(action),
+                         [&world, &node, operation = action.operation,
+                          incarnation = node.incarnation](core::CommitResult result) {
+                             world.post(node, incarnation, [&world, &node, operation, result] {
+                                 world.deliver(node, claimsEvent(operation, result));
+                             });
+                         });
+}
+
+void perform(World &world, NodeProcess &node, const core::ReadClaimRow &action)
+{
+    world.store.readRow(action.key, [&world, &node, operation = action.operation,
+                                     incarnation = node.incarnation](const auto &rows) {
+        core::DispatchEvent event = core::ClaimsUncertain{operation};
+        const auto decoded = decodeRows(rows);
+        if (decoded && decoded->empty())
+            event = core::ClaimRowRead{operation, std::nullopt};
+        else if (decoded)
+            event = core::ClaimRowRead{operation, decoded->front()};
+        world.post(node, incarnation, [&world, &node, event] { world.deliver(node, event); });
+    });
+}
+
+void perform(World &world, NodeProcess &node, const core::LoadClaims &action)
+{
+    world.store.read(codec::claimPrefix(action.shard), [&world, &node, action,
+                                                        incarnation = node.incarnation](
+                                                               const auto &rows) {
+        core::DispatchEvent event = core::ClaimsLoadFailed{action.operation, action.shard};
+        if (const auto decoded = decodeRows(rows))
+            event = core::ClaimsLoaded{action.operation, action.shard, *decoded};
+        world.post(node, incarnation, [&world, &node, event] { world.deliver(node, event); });
+    });
+}
+
+// The process ends once the answers that are decided have left.
+void perform(World &world, NodeProcess &node, const core::DispatchDrained &)
+{
+    world.simulation.record(node.name + " log: event=calls_drained");
+    node.drained = true;
+    world.simulation.after(lastAnswers, [&world, &node, incarnation = node.incarnation] {
+        world.post(node, incarnation, [&world, &node] { world.kill(node.name); });
+    });
+}
+
 } // namespace scenario
