--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -324,6 +324,10 @@
                     fmt::format("line {}: names a part that does not exist", command.line));
         }
     }
+    for (const auto &[key, row] : runner.world.store.rows) {
+        if (key.starts_with(codec::auditRowPrefix))
+            runner.world.simulation.record(key + " " + row.value);
+    }
     checkPromises(runner.world);
     for (const std::string &violation : runner.world.violations)
         runner.failures.push_back("promise: " + violation);
