--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -4,7 +4,6 @@
 #include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/lease_manager.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/rollout.hpp>
 #include <geraniumpulley/core/view.hpp>
 
 #include <optional>
@@ -32,7 +31,7 @@
 {
     std::vector<RowCheck> checks;
     std::vector<RowWrite> writes;
-    std::vector<std::string> deletes; ///< Keys of rows to delete.
+    std::vector<std::string> deletes = {}; ///< Keys of rows to delete.
 };
 
 struct TableRow
@@ -71,6 +70,4 @@
 TableTransaction configurationTransaction(const core::CommitConfiguration &commit);
 core::Result<core::ConfigurationDocument> decodeConfigurationRow(const std::string &value);
 
-std::string encodeBatch(const core::StoreBatch &batch);
-
 } // namespace geraniumpulley::codec
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "control_duty.hpp"
 #include "dispatch_duty.hpp"
+#include "engines_duty.hpp"
 #include "parts.hpp"
 #include "rollout_duty.hpp"
 #include "routes.hpp"
@@ -26,6 +27,7 @@
 constexpr core::Duration releaseLimit = std::chrono::seconds(3);
 constexpr core::Duration dispatchPeriod = std::chrono::milliseconds(10);
 constexpr core::Duration rolloutPeriod = std::chrono::milliseconds(500);
+constexpr core::Duration enginesPeriod = std::chrono::milliseconds(250);
 
 // "127.0.0.1:0" with the port that the system chose.
 std::string withPort(const std::string &address, std::uint16_t port)
@@ -68,6 +70,7 @@
         this->releaseLeases();
         this->timer.stop();
         this->parts.control.stop();
+        this->parts.engines.stop();
         this->parts.dispatch.stop();
         this->parts.rollout.stop();
         this->parts.callers.reset();
@@ -88,6 +91,7 @@
                               makeIncarnation()};
         startDispatch(this->parts, self);
         startRollout(this->parts, self.id);
+        startEngines(this->parts, self);
         this->leasesReleased = startControl(this->parts, {self, this->settings.seeds});
         this->subscribeTicks();
         this->parts.logger.write(
@@ -154,6 +158,9 @@
         this->timer.subscribe(rolloutPeriod, [this] {
             static_cast<void>(this->parts.rollout.inbox().tryPush(core::RolloutTick{}));
         });
+        this->timer.subscribe(enginesPeriod, [this] {
+            static_cast<void>(this->parts.engines.inbox().tryPush(core::EnginesTick{}));
+        });
     }
 
     Settings settings;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,18 +35,22 @@
 
 echo "== 3. a trainer opens a step and gets a labelled, scored batch once"
 callers=http://$(logged node-b callers)
-fetch "$callers/v1/steps" -d '{"trainer": "plotter-quotes", "step": 1, "group_size": 4,
-  "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"], "max_tokens": 64,
-  "trainer_version": 1}'
-echo
+# Opening a step again is harmless, so a trainer repeats it until an owner has taken it.
+open_step() {
+  fetch -f "$callers/v1/steps" -d '{"trainer": "plotter-quotes", "step": 1, "group_size": 4,
+    "prompts": ["A1 roll, 90 g", "A0 roll, 120 g", "vellum"], "max_tokens": 64,
+    "trainer_version": 1}'
+}
+wait_for "an owner of the step" open_step
 step=$callers/v1/steps/plotter-quotes/1
-batch_is_ready() { fetch "$step" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
+batch_is_ready() { fetch "$step?trainer_version=1&wait_ms=5000" >"$work/batch" && grep -q '"state":"ready"' "$work/batch"; }
 wait_for "the batch" batch_is_ready
 head -c 400 "$work/batch"
 echo " ..."
 [ "$(grep -o '"reward"' "$work/batch" | wc -l)" = 12 ]
 [ "$(grep -o '"incarnation"' "$work/batch" | wc -l)" -ge 12 ]
-fetch -X POST "$step/ack"
+digest=$(sed 's/.*"digest":"\([^"]*\)".*/\1/' "$work/batch")
+fetch "$step/ack" -d "{\"digest\": \"$digest\"}"
 echo
 fetch "$step" | grep -q '"state":"acknowledged"'
 echo "== all three steps came through"
