--- a/tests/scenarios/world.hpp
+++ b/tests/scenarios/world.hpp
@@ -154,6 +154,11 @@
 // One overload for each action; a new action is a compile error until it has one.
 void perform(World &world, NodeProcess &node, const core::CommitConfiguration &action);
 void perform(World &world, NodeProcess &node, const core::ReadConfiguration &action);
+void perform(World &world, NodeProcess &node, const core::ReadHead &action);
+void perform(World &world, NodeProcess &node, const core::ReadSubmission &action);
+void perform(World &world, NodeProcess &node, const core::RequestDocument &action);
+void perform(World &world, NodeProcess &node, const core::SendPatch &action);
+void perform(World &world, NodeProcess &node, const core::ParseDocument &action);
 void perform(World &world, NodeProcess &node, const core::ListTargets &action);
 void perform(World &world, NodeProcess &node, const core::SendAnnouncement &action);
 void perform(World &world, NodeProcess &node, const core::SendDocument &action);
