--- a/packages/codec/src/operator_messages.cpp
+++ b/packages/codec/src/operator_messages.cpp
@@ -64,6 +64,7 @@
 value encodeShards(const std::vector<core::Shard> &shards)
 {
     std::vector<value> names;
+    names.reserve(shards.size());
     for (const core::Shard &shard : shards)
         names.push_back(value::string(core::nameOf(shard)));
     return value::array(std::move(names));
--- a/packages/codec/src/step_messages.cpp
+++ b/packages/codec/src/step_messages.cpp
@@ -74,6 +74,7 @@
 std::string encodeIndex(const std::set<std::uint64_t> &openSteps)
 {
     std::vector<value> steps;
+    steps.reserve(openSteps.size());
     for (const std::uint64_t step : openSteps)
         steps.push_back(value::string(std::to_string(step)));
     value body = value::object();
--- a/packages/core/src/step_state.cpp
+++ b/packages/core/src/step_state.cpp
@@ -149,7 +149,8 @@
         tokens += lengths.tokens;
         finished += lengths.finished;
     }
-    const double mean = finished == 0 ? 0 : static_cast<double>(tokens) / finished;
+    const double mean =
+            finished == 0 ? 0 : static_cast<double>(tokens) / static_cast<double>(finished);
     const SampleSlot *best = nullptr;
     double bestLength = -1;
     auto position = step.waiting.begin();
--- a/packages/core/tests/unit-at_most_once.cpp
+++ b/packages/core/tests/unit-at_most_once.cpp
@@ -157,13 +157,14 @@
     {
         if (!answer.forwarded)
             return this->tell(answer.reply, answer.answer);
-        const auto [asker, life, operation, key] = this->forwards[answer.reply];
+        const Forwarded forwarded = this->forwards[answer.reply];
         if (answer.answer.outcome == Outcome::NotRun)
-            this->checkNotRun(this->find(key));
+            this->checkNotRun(this->find(forwarded.key));
         const DispatchEvent event =
-                this->chance(0.1) ? DispatchEvent{AttemptFailed{operation, AttemptFailure::Lost}}
-                                  : DispatchEvent{PeerAnswered{operation, answer.answer}};
-        this->leave(i, [=, this] { this->handle(asker, life, event); });
+                this->chance(0.1)
+                        ? DispatchEvent{AttemptFailed{forwarded.operation, AttemptFailure::Lost}}
+                        : DispatchEvent{PeerAnswered{forwarded.operation, answer.answer}};
+        this->leave(i, [=, this] { this->handle(forwarded.asker, forwarded.life, event); });
     }
 
     void tell(ReplyToken token, const CallAnswer &answer)
--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -66,7 +66,7 @@
     // Calls `done` with the rows, or with nothing when the store did not tell.
     void readRows(const std::string &query,
                   std::function<void(std::vector<codec::TableRow> &&)> done,
-                  core::ControlEvent failure = core::StoreUnanswered{})
+                  const core::ControlEvent &failure = core::StoreUnanswered{})
     {
         this->parts.platform->send(
                 {"GET",
--- a/tests/live/child_process.cpp
+++ b/tests/live/child_process.cpp
@@ -16,6 +16,7 @@
 pid_t spawn(const std::vector<std::string> &command, int standardError, int closedInChild)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &word : command)
         arguments.push_back(const_cast<char *>(word.c_str()));
     arguments.push_back(nullptr);
--- a/tests/scenarios/world_rollout.cpp
+++ b/tests/scenarios/world_rollout.cpp
@@ -62,12 +62,13 @@
     const core::Generate &order = stream->order;
     if (stream->made >= stream->length) {
         world.simulation.record(fmt::format("{} made {}", engine.name, describe(order.slot)));
-        if (!stream->isBroken)
+        if (!stream->isBroken) {
             stream->answer(
                     [&world, &node,
                      generated = core::SampleGenerated{order.slot, order.attempt, stream->length}] {
                         world.deliver(node, core::RolloutEvent{generated});
                     });
+        }
         return;
     }
     const std::uint64_t count = std::min(tokensPerChunk, stream->length - stream->made);
