Learn holders sooner, keep the call reserve, and let a stopping node stay stopped

(1) A node that holds nothing in a shard learnt its new holder from fence rows read each 10 s, so calls and steps went to a dead holder for that long. (2) call_reserve was configured and nothing kept it. (3) With fence rows read sooner, a planned stop got its shards handed back: its last renewal made it look alive. Ruled out: telling every node of each takeover, which costs messages with the square of the nodes; a fixed 2 s, which is 170 reads a second at 340 nodes. Change: the period is 30 ms times the members, 2 to 10 s; placement leaves the reserve of model engines free; a lease row says that its node stops, and a holder hands back only after a read that is newer than what it was handed.

--- a/packages/codec/src/lease_rows.cpp
+++ b/packages/codec/src/lease_rows.cpp
@@ -17,6 +17,7 @@
     value encoded = value::object();
     encoded["incarnation"] = value::number(record.incarnation);
     encoded["counter"] = value::number(record.counter);
+    encoded["stopping"] = value::boolean(record.stopping);
     return encoded.serialize();
 }
 
@@ -74,6 +75,7 @@
     core::LeaseRecord record;
     record.incarnation = reader.readNumber("incarnation");
     record.counter = reader.readNumber("counter");
+    record.stopping = reader.readBool("stopping", false);
     if (!problems.empty())
         return make_error_code(Errc::WrongShape);
     return record;
--- a/packages/core/include/geraniumpulley/core/lease_manager.hpp
+++ b/packages/core/include/geraniumpulley/core/lease_manager.hpp
@@ -4,6 +4,7 @@
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,7 @@
 {
     std::uint64_t incarnation = 0;
     std::uint64_t counter = 0; ///< Rises with each renewal; tells a lost answer's own write.
+    bool stopping = false; ///< The node gives its shards up and must not get any back.
 
     auto operator<=>(const LeaseRecord &) const = default;
 };
@@ -124,7 +126,11 @@
     Duration ttl = std::chrono::seconds(5); ///< Silence after which a shard is taken over.
     Duration margin = std::chrono::seconds(1); ///< The holder doubts itself this much earlier.
     Duration settle = std::chrono::seconds(2); ///< Members must be unchanged for this long.
-    Duration fencesPeriod = std::chrono::seconds(10); ///< Between two reads of all fence rows.
+    /// Between two reads of all fence rows, for each member: the reads of all nodes together stay
+    /// at 33 a second, whatever their number, within the two bounds below.
+    Duration fencesPeriodPerNode = std::chrono::milliseconds(30);
+    Duration leastFencesPeriod = std::chrono::seconds(2);
+    Duration mostFencesPeriod = std::chrono::seconds(10);
     Duration watchGap = std::chrono::seconds(3); ///< A longer gap restarts an observation.
 };
 
@@ -171,6 +177,7 @@
     std::optional<RowVersion> ownRow; ///< Nothing until it is read back.
     std::optional<Time> renewed; ///< When the last renewal that succeeded was sent.
     std::optional<Time> fencesRead;
+    std::size_t memberCount = 1;
     Time membersSince{}; ///< When the members last changed.
     std::uint64_t counter = 0;
     bool renewOnly = false; ///< After a refusal the next transaction changes no holder.
--- a/packages/core/src/lease_manager.cpp
+++ b/packages/core/src/lease_manager.cpp
@@ -26,6 +26,14 @@
     return node && node->id == state.self.id;
 }
 
+Duration fencesPeriod(const LeaseState &state)
+{
+    const LeaseSettings &settings = state.settings;
+    const auto members = static_cast<Duration::rep>(state.memberCount);
+    return std::clamp(settings.fencesPeriodPerNode * members, settings.leastFencesPeriod,
+                      settings.mostFencesPeriod);
+}
+
 bool membersAreSettled(const LeaseState &state, Time now)
 {
     return now - state.membersSince >= state.settings.settle;
@@ -75,7 +83,7 @@
             return;
         this->rankMembers();
         const auto &lastRead = this->state.fencesRead;
-        if (!lastRead || this->now - *lastRead >= this->state.settings.fencesPeriod)
+        if (!lastRead || this->now - *lastRead >= fencesPeriod(this->state))
             this->actions.push_back(ReadFences{});
         if (!this->state.ownRow)
             this->actions.push_back(ReadLeaseRow{this->state.self.id});
@@ -96,6 +104,7 @@
     void operator()(const LeaseNodesChanged &event)
     {
         this->state.membersSince = this->now;
+        this->state.memberCount = event.nodes.size();
         this->state.unranked = event.nodes;
     }
 
@@ -256,7 +265,8 @@
         this->state.renewOnly = false;
         if (!renews && changes.empty())
             return;
-        const LeaseRecord renewal{this->state.self.incarnation, ++this->state.counter};
+        const LeaseRecord renewal{this->state.self.incarnation, ++this->state.counter,
+                                  this->state.stopping};
         CommitLeases commit{this->state.self.id, renewal, *this->state.ownRow, std::move(changes)};
         this->state.commit = LeaseCommit{commit, this->now, false};
         this->actions.push_back(std::move(commit));
@@ -296,22 +306,24 @@
             return FenceChange{known.row, FenceRecord{}, std::nullopt};
         if (!heir || isSelf(this->state, heir))
             return std::nullopt;
-        const bool mayChange =
-                this->state.stopping
-                || (membersAreSettled(this->state, this->now) && this->renewsNow(*heir));
+        const bool mayChange = this->state.stopping
+                               || (membersAreSettled(this->state, this->now)
+                                   && this->renewsNow(*heir, known.learnt));
         if (!mayChange)
             return std::nullopt;
         return FenceChange{known.row, {heir->id, heir->incarnation}, std::nullopt};
     }
 
     // Messages of a node do not tell whether it reaches the store; only its renewals do.
-    bool renewsNow(const Node &node)
+    // What was read before the shard came here may date from before its last holder gave it up.
+    bool renewsNow(const Node &node, Time since)
     {
         const auto position = this->state.observations.find(node.id);
         if (position == this->state.observations.end())
             return false;
         const LeaseObservation &seen = position->second;
-        return seen.wasRenewed && seen.record && seen.record->incarnation == node.incarnation
+        return seen.lastRead > since && seen.wasRenewed && seen.record
+               && seen.record->incarnation == node.incarnation && !seen.record->stopping
                && seen.lastRead - seen.unchangedSince < this->state.settings.ttl;
     }
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -15,7 +15,8 @@
     std::uint32_t others = 0;
     if (report != nullptr && report->inFlight > own)
         others = report->inFlight - own;
-    const std::uint32_t used = own + others;
+    const std::uint32_t reserve = service.kind == ServiceKind::Model ? service.callReserve : 0;
+    const std::uint32_t used = own + others + reserve;
     return used < service.maxInFlight ? service.maxInFlight - used : 0;
 }
 
--- a/packages/core/tests/unit-lease_manager.cpp
+++ b/packages/core/tests/unit-lease_manager.cpp
@@ -167,6 +167,29 @@
     CHECK(pair.a.held(pair.now) + pair.b.held(pair.now) <= allShards().size());
 }
 
+TEST_CASE("a bystander learns within seconds who took a dead holder's shards over")
+{
+    for (Duration life = 12s; life < 24s; life += 1s) {
+        Pair pair;
+        const std::vector<Node> members{makeNode("a"), makeNode("b"), makeNode("c")};
+        Holder c{pair.store, makeLeaseState(members[2]), std::make_shared<LeaseTable>(), {}};
+        for (Holder *holder : {&pair.a, &pair.b, &c})
+            holder->handle(LeaseNodesChanged{members}, pair.now);
+        const auto run = [&](Duration length, bool aRuns) {
+            for (const Time end = pair.now + length; pair.now < end;) {
+                c.handle(LeaseTick{}, pair.now);
+                pair.run(1s, aRuns, true);
+            }
+        };
+        run(life, true);
+        REQUIRE(pair.a.held(pair.now) > 0);
+        run(10s, false);
+        CAPTURE(life.count());
+        for (const Shard &shard : allShards())
+            CHECK(holderOf(*c.table, shard) != NodeId{"a"});
+    }
+}
+
 TEST_CASE("a shard goes back to its first node only once that renews its lease")
 {
     Pair pair;
--- /dev/null
+++ b/packages/core/tests/unit-placement.cpp
@@ -0,0 +1,47 @@
+#include <geraniumpulley/core/placement.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley::core;
+
+namespace {
+
+const Time start{std::chrono::hours(1)};
+const Target engine{{"e1"}, {"model"}, "127.0.0.1:8", "bilbao", false};
+
+Configuration makeConfiguration(ServiceKind kind)
+{
+    Service service;
+    service.name = {"model"};
+    service.kind = kind;
+    service.maxInFlight = 4;
+    service.callReserve = 2;
+    Configuration configuration;
+    configuration.services = {service};
+    return configuration;
+}
+
+bool hasRoom(ServiceKind kind, std::uint32_t inFlight)
+{
+    PlacementQuery query;
+    query.service = {"model"};
+    View view;
+    view.targets = {engine};
+    EngineLoads loads;
+    loads[engine.id].inFlight = inFlight;
+    return chooseTarget(query, makeConfiguration(kind), view, nullptr, loads, start) != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("rollouts leave the call reserve of a model engine free")
+{
+    CHECK(hasRoom(ServiceKind::Model, 1));
+    CHECK_FALSE(hasRoom(ServiceKind::Model, 2));
+}
+
+TEST_CASE("a scorer serves rollouts alone and keeps no reserve")
+{
+    CHECK(hasRoom(ServiceKind::Scorer, 3));
+    CHECK_FALSE(hasRoom(ServiceKind::Scorer, 4));
+}
