Judge the platform's answers in one place

Cause: whether a call of the platform succeeded or met a conflict was written out in six sources of the node, twice as a function under two names. Change: isOk and isConflict in platform_results.hpp serve all six. Ruled out: one type for all commit results; each duty has its own events. Conclusion: behaviour as before.

--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -1,6 +1,7 @@
 #include "control_duty.hpp"
 
 #include "lease_actions.hpp"
+#include "platform_results.hpp"
 
 #include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/operator_messages.hpp>
@@ -22,7 +23,6 @@
 
 constexpr core::Duration peerTimeout = std::chrono::seconds(2);
 constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
 constexpr std::uint32_t statusUnavailable = 503;
 
 struct ControlDuty
@@ -56,9 +56,9 @@
     static core::ControlEvent commitResult(core::OperationId operation,
                                            const net::PlatformReply &reply)
     {
-        if (reply.answered && reply.status == statusOk)
+        if (isOk(reply))
             return core::CommitSucceeded{operation};
-        if (reply.answered && reply.status == statusConflict)
+        if (isConflict(reply))
             return core::CommitRefused{operation};
         return core::CommitUncertain{operation};
     }
@@ -73,7 +73,7 @@
                  "/table/rows?" + query,
                  {},
                  [this, done = std::move(done), failure](net::PlatformReply &&reply) {
-                     const bool answered = reply.answered && reply.status == statusOk;
+                     const bool answered = isOk(reply);
                      auto rows = codec::decodeRows(answered ? reply.body : std::string());
                      if (rows)
                          return done(std::move(rows.value()));
@@ -165,7 +165,7 @@
     void perform(core::ListTargets &&)
     {
         this->parts.platform->send({"GET", "/vms", {}, [this](net::PlatformReply &&reply) {
-                                        if (!reply.answered || reply.status != statusOk)
+                                        if (!isOk(reply))
                                             return;
                                         auto targets = codec::decodeTargets(reply.body);
                                         if (targets)
--- a/packages/node/src/dispatch_duty.cpp
+++ b/packages/node/src/dispatch_duty.cpp
@@ -1,5 +1,7 @@
 #include "dispatch_duty.hpp"
 
+#include "platform_results.hpp"
+
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
@@ -14,9 +16,6 @@
 namespace geraniumpulley::node {
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
-
 core::AttemptFailure toAttemptFailure(net::SendFailure failure)
 {
     return failure == net::SendFailure::NotSent ? core::AttemptFailure::NotSent
@@ -104,9 +103,9 @@
     static core::DispatchEvent commitResult(core::OperationId operation,
                                             const net::PlatformReply &reply)
     {
-        if (reply.answered && reply.status == statusOk)
+        if (isOk(reply))
             return core::ClaimsCommitted{operation};
-        if (reply.answered && reply.status == statusConflict)
+        if (isConflict(reply))
             return core::ClaimsRefused{operation};
         return core::ClaimsUncertain{operation};
     }
@@ -124,7 +123,7 @@
     static core::DispatchEvent readResult(core::OperationId operation,
                                           const net::PlatformReply &reply)
     {
-        if (!reply.answered || reply.status != statusOk)
+        if (!isOk(reply))
             return core::ClaimsUncertain{operation};
         auto rows = codec::decodeClaimRows(reply.body);
         if (!rows)
@@ -146,7 +145,7 @@
 
     core::DispatchEvent loadResult(const core::LoadClaims &load, const net::PlatformReply &reply)
     {
-        if (!reply.answered || reply.status != statusOk)
+        if (!isOk(reply))
             return core::ClaimsLoadFailed{load.operation, load.shard};
         auto rows = codec::decodeClaimRows(reply.body);
         if (!rows) {
--- a/packages/node/src/engines_duty.cpp
+++ b/packages/node/src/engines_duty.cpp
@@ -1,5 +1,7 @@
 #include "engines_duty.hpp"
 
+#include "platform_results.hpp"
+
 #include <geraniumpulley/codec/engine_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -34,11 +36,6 @@
     return 500;
 }
 
-bool isRead(const net::PlatformReply &reply)
-{
-    return reply.answered && reply.status == statusOk;
-}
-
 struct EnginesDuty
 {
     Parts &parts;
@@ -152,7 +149,7 @@
         const std::string body = codec::encodeTransaction(codec::weightsTransaction(commit));
         this->parts.platform->send(
                 {"POST", "/table/transact", body, [this, commit](net::PlatformReply &&reply) {
-                     if (!isRead(reply))
+                     if (!isOk(reply))
                          return this->perform(core::ReadWeights{commit.model});
                      this->push(core::WeightsCommitted{commit.model, commit.version,
                                                        commit.rowVersion + 1});
@@ -165,7 +162,7 @@
                                     codec::rowPath(codec::weightsRowKey(read.model)),
                                     {},
                                     [this, model = read.model](net::PlatformReply &&reply) {
-                                        if (!isRead(reply))
+                                        if (!isOk(reply))
                                             return;
                                         const auto row = codec::decodeWeightsRow(reply.body);
                                         if (row)
@@ -204,7 +201,7 @@
 
     static core::EnginesEvent claimResult(const std::string &key, const net::PlatformReply &reply)
     {
-        if (!isRead(reply))
+        if (!isOk(reply))
             return core::GroupClaimUnread{key};
         auto row = codec::decodeClaimRow(reply.body, key);
         if (!row)
--- a/packages/node/src/lease_actions.cpp
+++ b/packages/node/src/lease_actions.cpp
@@ -1,5 +1,7 @@
 #include "lease_actions.hpp"
 
+#include "platform_results.hpp"
+
 #include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -13,8 +15,6 @@
 using runtime::field;
 
 constexpr core::Duration peerTimeout = std::chrono::seconds(2);
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
 
 void push(Parts &parts, core::LeaseEvent event)
 {
@@ -23,7 +23,7 @@
 
 std::optional<std::vector<codec::TableRow>> readRows(const net::PlatformReply &reply)
 {
-    if (!reply.answered || reply.status != statusOk)
+    if (!isOk(reply))
         return std::nullopt;
     auto rows = codec::decodeRows(reply.body);
     if (!rows)
@@ -33,9 +33,9 @@
 
 core::CommitResult commitResult(const net::PlatformReply &reply)
 {
-    if (reply.answered && reply.status == statusOk)
+    if (isOk(reply))
         return core::CommitResult::Committed;
-    if (reply.answered && reply.status == statusConflict)
+    if (isConflict(reply))
         return core::CommitResult::Refused;
     return core::CommitResult::Uncertain;
 }
--- a/packages/node/src/operator_routes.cpp
+++ b/packages/node/src/operator_routes.cpp
@@ -1,3 +1,4 @@
+#include "platform_results.hpp"
 #include "routes.hpp"
 
 #include <geraniumpulley/codec/operator_messages.hpp>
@@ -48,7 +49,7 @@
 {
     const std::string path = std::string("/table/rows?prefix=") + codec::auditRowPrefix;
     parts.platform->send({"GET", path, {}, [&parts, token](net::PlatformReply &&reply) {
-                              const bool read = reply.answered && reply.status == statusOk;
+                              const bool read = isOk(reply);
                               answer(parts, token, read ? statusOk : statusUnavailable,
                                      read ? codec::encodeAuditTrail(reply.body)
                                           : R"({"error":"the store does not answer"})");
--- a/packages/node/src/step_store.cpp
+++ b/packages/node/src/step_store.cpp
@@ -1,5 +1,7 @@
 #include "step_store.hpp"
 
+#include "platform_results.hpp"
+
 #include <geraniumpulley/codec/step_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
 
@@ -11,14 +13,6 @@
 namespace geraniumpulley::node {
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
-
-bool isOk(const net::PlatformReply &reply)
-{
-    return reply.answered && reply.status == statusOk;
-}
-
 void push(Parts &parts, core::RolloutEvent event)
 {
     parts.rollout.deliver(std::move(event));
@@ -109,8 +103,7 @@
 {
     if (isOk(reply))
         return core::AppendOutcome::Committed;
-    return reply.answered && reply.status == statusConflict ? core::AppendOutcome::Refused
-                                                            : core::AppendOutcome::Unknown;
+    return isConflict(reply) ? core::AppendOutcome::Refused : core::AppendOutcome::Unknown;
 }
 
 void transact(Parts &parts, const core::AppendRecord &append)
