--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -17,7 +17,7 @@
 # that they share; `main.cpp` is left out.
 function(geraniumpulley_package name)
   cmake_parse_arguments(PACKAGE "" "" "DEPENDS;LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp src/*/*.cpp)
   list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
   add_library(geraniumpulley_${name} STATIC ${sources})
   add_library(geraniumpulley::${name} ALIAS geraniumpulley_${name})
@@ -36,7 +36,8 @@
           DESTINATION ${GERANIUMPULLEY_CMAKE_DIR})
   install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
 
-  file(GLOB tests CONFIGURE_DEPENDS tests/unit-*.cpp tests/*_world.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS tests/unit-*.cpp tests/*_world.cpp tests/*/unit-*.cpp
+       tests/*/*_world.cpp)
   if(BUILD_TESTING AND tests)
     add_executable(test_${name} tests/main.cpp ${tests})
     target_include_directories(test_${name} PRIVATE src)
--- /dev/null
+++ b/packages/codec/src/batch_rows.cpp
@@ -0,0 +1,173 @@
+#include <geraniumpulley/codec/batch_rows.hpp>
+
+#include "message_pack.hpp"
+
+#include <geraniumpulley/codec/error.hpp>
+
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace geraniumpulley::codec {
+namespace {
+
+using detail::pack;
+using detail::unpack;
+
+using HeadWire = std::tuple<std::string, std::uint64_t, bool, std::uint32_t, std::int64_t>;
+using ResultWire =
+        std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
+using PartialWire =
+        std::tuple<std::uint32_t, std::string, std::uint64_t, std::vector<std::uint64_t>>;
+using BeatWire =
+        std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, bool>;
+using LeaseWire = std::tuple<std::string, std::uint64_t>;
+using SubmittedWire = std::tuple<std::string, std::string, std::string>;
+using RelayedCallWire = std::tuple<std::string, std::string, std::string, std::int64_t>;
+using RelayedReplyWire = std::tuple<int, std::uint32_t, std::string>;
+
+std::vector<std::uint64_t> toWire(const std::vector<core::WeightVersion> &versions)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const core::WeightVersion version : versions)
+        numbers.push_back(core::number(version));
+    return numbers;
+}
+
+std::vector<core::WeightVersion> fromWire(const std::vector<std::uint64_t> &numbers)
+{
+    std::vector<core::WeightVersion> versions;
+    for (const std::uint64_t number : numbers)
+        versions.push_back(core::WeightVersion{number});
+    return versions;
+}
+
+} // namespace
+
+std::string encodeHead(const core::BatchHead &head)
+{
+    return pack(HeadWire{head.owner.value, head.ownerIncarnation, head.ended, head.total,
+                         head.submittedAt.count()});
+}
+
+core::Result<core::BatchHead> decodeHead(const core::BatchId &id, const std::string &bytes,
+                                         core::RowVersion version)
+{
+    const auto wire = unpack<HeadWire>(bytes);
+    if (!wire)
+        return wire.error();
+    const auto &[owner, incarnation, ended, total, submittedAt] = wire.value();
+    return core::BatchHead{id,     {owner}, incarnation, ended, total, core::Duration(submittedAt),
+                           version};
+}
+
+std::string encodeResult(const core::ItemResult &result)
+{
+    return pack(ResultWire{result.id.value, result.outcome == core::ItemOutcome::Completed,
+                           result.text, toWire(result.versions), result.score});
+}
+
+core::Result<core::ItemResult> decodeResult(const std::string &bytes)
+{
+    auto wire = unpack<ResultWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[id, completed, text, versions, score] = wire.value();
+    return core::ItemResult{{std::move(id)},
+                            completed ? core::ItemOutcome::Completed : core::ItemOutcome::Lost,
+                            std::move(text),
+                            fromWire(versions),
+                            std::move(score)};
+}
+
+std::string encodePartial(const core::PartialText &partial)
+{
+    return pack(
+            PartialWire{partial.item, partial.text, partial.lastEvent, toWire(partial.versions)});
+}
+
+core::Result<core::PartialText> decodePartial(const std::string &bytes)
+{
+    auto wire = unpack<PartialWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[item, text, lastEvent, versions] = wire.value();
+    return core::PartialText{item, std::move(text), lastEvent, fromWire(versions)};
+}
+
+std::string encodeBeat(const core::NodeBeat &beat)
+{
+    return pack(BeatWire{beat.node.id.value, beat.node.address, beat.node.dataCentre,
+                         beat.node.incarnation, beat.counter, beat.leaving});
+}
+
+core::Result<core::NodeBeat> decodeBeat(const std::string &bytes)
+{
+    const auto wire = unpack<BeatWire>(bytes);
+    if (!wire)
+        return wire.error();
+    const auto &[id, address, dataCentre, incarnation, counter, leaving] = wire.value();
+    return core::NodeBeat{{{id}, address, dataCentre, incarnation}, counter, leaving};
+}
+
+std::string encodeOrdersLease(const core::OrdersLease &lease)
+{
+    return pack(LeaseWire{lease.holder.value, lease.incarnation});
+}
+
+core::Result<core::OrdersLease> decodeOrdersLease(const std::string &bytes,
+                                                  core::RowVersion version)
+{
+    const auto wire = unpack<LeaseWire>(bytes);
+    if (!wire)
+        return wire.error();
+    const auto &[holder, incarnation] = wire.value();
+    return core::OrdersLease{{holder}, incarnation, version};
+}
+
+std::string encodeSubmitted(const SubmittedBody &submitted)
+{
+    return pack(SubmittedWire{submitted.host, submitted.path, submitted.body});
+}
+
+core::Result<SubmittedBody> decodeSubmitted(const std::string &bytes)
+{
+    auto wire = unpack<SubmittedWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[host, path, body] = wire.value();
+    return SubmittedBody{std::move(host), std::move(path), std::move(body)};
+}
+
+std::string encodeRelay(const RelayedCall &call)
+{
+    return pack(RelayedCallWire{call.method, call.target, call.body, call.timeLeft.count()});
+}
+
+core::Result<RelayedCall> decodeRelayedCall(const std::string &bytes)
+{
+    auto wire = unpack<RelayedCallWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[method, target, body, timeLeft] = wire.value();
+    return RelayedCall{std::move(method), std::move(target), std::move(body),
+                       core::Duration(timeLeft)};
+}
+
+std::string encodeRelay(const RelayedReply &reply)
+{
+    return pack(RelayedReplyWire{static_cast<int>(reply.outcome), reply.status, reply.body});
+}
+
+core::Result<RelayedReply> decodeRelayedReply(const std::string &bytes)
+{
+    auto wire = unpack<RelayedReplyWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[outcome, status, body] = wire.value();
+    if (outcome < 0 || outcome > static_cast<int>(RelayOutcome::Lost))
+        return make_error_code(Errc::WrongShape);
+    return RelayedReply{static_cast<RelayOutcome>(outcome), status, std::move(body)};
+}
+
+} // namespace geraniumpulley::codec
--- /dev/null
+++ b/packages/core/include/geraniumpulley/core/fleet/presence.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <geraniumpulley/core/time.hpp>
+#include <geraniumpulley/core/view.hpp>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+/// Which nodes are alive, judged by the heartbeats that they write to the table service.
+namespace geraniumpulley::core {
+
+/// A node's heartbeat row.
+struct NodeBeat
+{
+    Node node;
+    std::uint64_t counter = 0; ///< Rises with each beat of one incarnation.
+    bool leaving = false; ///< The node stops and takes no work over.
+};
+
+struct PresenceSettings
+{
+    /// Between two beats of a node.
+    Duration beatPeriod = std::chrono::milliseconds(600);
+    /// Silence after which a node counts as gone. Three beats, so that one lost call is borne, and
+    /// short enough that work is taken over within 4 s.
+    Duration silenceLimit = std::chrono::milliseconds(2000);
+    /// Without a beat of its own a node takes nobody else's silence as a sign.
+    Duration deafLimit = std::chrono::milliseconds(1200);
+};
+
+struct KnownBeat
+{
+    NodeBeat beat;
+    Time heardAt{};
+};
+
+/// What one node has heard of all nodes, itself included.
+struct Presence
+{
+    NodeId self;
+    PresenceSettings settings;
+    std::map<NodeId, KnownBeat> nodes;
+    Time observingSince{};
+    Time ownBeatHeard{};
+};
+
+Presence makePresence(NodeId self, PresenceSettings settings, Time now);
+
+/// Takes a heartbeat row. After a time without own beats the silence of the others starts anew.
+void noteBeat(Presence &presence, const NodeBeat &beat, Time now);
+
+/// \return whether own beats have been missing for so long that silence tells nothing.
+bool isDeaf(const Presence &presence, Time now);
+
+/// \return whether that start of a node is known to have ended, or has been silent for too long.
+bool isGone(const Presence &presence, const NodeId &node, std::uint64_t incarnation, Time now);
+
+/// \return the nodes that may take work over, in order of their ids.
+std::vector<Node> liveNodes(const Presence &presence, Time now);
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/include/geraniumpulley/core/fleet/table_follower.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <geraniumpulley/core/row_version.hpp>
+#include <geraniumpulley/core/time.hpp>
+
+#include <optional>
+#include <variant>
+
+/// When a node reads a table of the store whole, and when it asks for what has changed.
+namespace geraniumpulley::core {
+
+struct FollowSettings
+{
+    Duration pause{}; ///< Between an answer and the next question.
+    Duration wait{}; ///< How long the store may hold a question until there is a change.
+    /// Between two reads of the whole table: a feed may miss changes without a sign. 0 for a table
+    /// that is never read whole.
+    Duration rereadPeriod{};
+    Duration retryDelay = std::chrono::milliseconds(150); ///< After a failed read.
+};
+
+struct TableFollower
+{
+    FollowSettings settings;
+    bool reading = false;
+    bool wantsWhole = true;
+    RowVersion upTo{}; ///< Everything before is known.
+    Time nextRead{};
+    Time nextWhole{};
+};
+
+struct ReadWholeTable
+{
+};
+struct ReadTableChanges
+{
+    RowVersion after{};
+    Duration wait{};
+};
+
+using FollowerRead = std::variant<ReadWholeTable, ReadTableChanges>;
+
+/// \return the read that is due, which then counts as under way, or nothing.
+std::optional<FollowerRead> nextRead(TableFollower &follower, Time now);
+
+/// \return when `nextRead` is to be called next; nothing while a read is under way.
+std::optional<Time> dueAt(const TableFollower &follower);
+
+/// Notes that a read was answered with everything up to a version.
+void noteAnswer(TableFollower &follower, bool wasWhole, RowVersion upTo, Time now);
+
+/// Notes that a read failed. \param historyGone the store does not know the changes any more.
+void noteFailure(TableFollower &follower, bool historyGone, Time now);
+
+} // namespace geraniumpulley::core
--- a/packages/core/include/geraniumpulley/core/lease_manager.hpp
+++ b/packages/core/include/geraniumpulley/core/lease_manager.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/core/view.hpp>
 
@@ -15,9 +16,6 @@
 /// Decisions on shard leases: renewal, takeover, handover and the holder's own doubt.
 namespace geraniumpulley::core {
 
-/// The version of a row in the table service; 0 means that there is no such row.
-enum class RowVersion : std::uint64_t {};
-
 /// The row `lease/NODE`: one for a node, whatever number of shards it holds.
 struct LeaseRecord
 {
--- /dev/null
+++ b/packages/core/include/geraniumpulley/core/row_version.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace geraniumpulley::core {
+
+/// The version of a row in the table service; 0 means that there is no such row.
+enum class RowVersion : std::uint64_t {};
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -0,0 +1,162 @@
+#include <geraniumpulley/core/batch/batch_duty.hpp>
+
+#include "batch_context.hpp"
+
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+struct Handler
+{
+    BatchContext &context;
+
+    void operator()(const SubmitAsked &event) { onSubmitAsked(this->context, event); }
+    void operator()(const ResultsAsked &event) { onResultsAsked(this->context, event); }
+    void operator()(const ItemBodyAsked &event) { onItemBodyAsked(this->context, event); }
+    void operator()(const EndAsked &event) { onEndAsked(this->context, event); }
+    void operator()(const AskerLeft &event) { onAskerLeft(this->context, event); }
+    void operator()(const RunOpened &event) { onRunOpened(this->context, event); }
+    void operator()(const RunProgressed &event) { onRunProgressed(this->context, event); }
+    void operator()(const RunEnded &event) { onRunEnded(this->context, event); }
+    void operator()(const ScoreEnded &event) { onScoreEnded(this->context, event); }
+    void operator()(const SubmissionStored &event) { onSubmissionStored(this->context, event); }
+    void operator()(const ResultsStored &event) { onResultsStored(this->context, event); }
+    void operator()(const HeadStored &event) { onHeadStored(this->context, event); }
+    void operator()(const BatchLoaded &event) { onBatchLoaded(this->context, event); }
+    void operator()(const ResultsRead &event) { onResultsRead(this->context, event); }
+
+    void operator()(const BatchDirectoryChanged &event)
+    {
+        this->context.state.directory = event.directory;
+        reviewOwnership(this->context);
+    }
+
+    void operator()(const BatchDraining &) { this->context.state.draining = true; }
+
+    void operator()(const BatchTick &)
+    {
+        reviewOwnership(this->context);
+        advanceSubmissions(this->context);
+        advanceReaders(this->context);
+        advanceEnds(this->context);
+        advanceLoads(this->context);
+        for (auto &[id, batch] : this->context.state.owned) {
+            giveUpLate(this->context, batch);
+            advanceCommit(this->context, batch);
+        }
+        moveSlowRuns(this->context);
+    }
+};
+
+void noteDrained(BatchContext &context)
+{
+    BatchState &state = context.state;
+    if (!state.draining || state.drained || !state.owned.empty() || !state.submissions.empty())
+        return;
+    state.drained = true;
+    context.actions.emplace_back(BatchesDrained{});
+}
+
+// The earliest of the times given to it.
+struct Earliest
+{
+    std::optional<Time> due;
+
+    void add(Time time) { this->due = std::min(this->due.value_or(time), time); }
+};
+
+void addOwned(const OwnedBatch &batch, bool draining, Earliest &earliest)
+{
+    if (batch.commit && !batch.commit->sent)
+        earliest.add(batch.commit->retryAt);
+    if (draining && !batch.releaseSent)
+        earliest.add(batch.releaseRetryAt);
+    for (const BatchWaiter &waiter : batch.waiters)
+        earliest.add(waiter.until);
+    bool isRunning = false;
+    for (const ItemState &item : batch.items) {
+        isRunning = isRunning || item.phase == ItemPhase::Running;
+        if (item.phase == ItemPhase::Unscored)
+            earliest.add(item.notBefore);
+    }
+    if (isRunning)
+        earliest.add(batch.nextPartials);
+}
+
+bool hasWaitingItem(const OwnedBatch &batch)
+{
+    for (const ItemState &item : batch.items) {
+        if (item.phase == ItemPhase::Waiting)
+            return true;
+    }
+    return false;
+}
+
+// A paused engine takes waiting items again when its pause ends.
+void addPauses(const BatchState &state, Time now, Earliest &earliest)
+{
+    bool waits = false;
+    for (const auto &[id, batch] : state.owned)
+        waits = waits || hasWaitingItem(batch);
+    for (const auto &[target, use] : state.engines) {
+        if (waits && use.notBefore > now)
+            earliest.add(use.notBefore);
+    }
+}
+
+} // namespace
+
+BatchState makeBatchState(Node self, BatchSettings settings)
+{
+    BatchState state;
+    state.self = std::move(self);
+    state.settings = settings;
+    return state;
+}
+
+std::vector<BatchAction> step(BatchState &state, const BatchEvent &event, Time now)
+{
+    BatchContext context{state, now, {}};
+    std::visit(Handler{context}, event);
+    startRuns(context);
+    advanceReleases(context);
+    noteDrained(context);
+    return std::move(context.actions);
+}
+
+std::optional<Time> dueAt(const BatchState &state, Time now)
+{
+    Earliest earliest;
+    for (const auto &[id, batch] : state.owned)
+        addOwned(batch, state.draining, earliest);
+    for (const auto &[id, submission] : state.submissions) {
+        if (!submission.sent)
+            earliest.add(submission.retryAt);
+        if (!submission.askers.empty())
+            earliest.add(submission.answerBy);
+    }
+    for (const auto &[id, end] : state.ends) {
+        earliest.add(end.answerBy);
+        if (!end.sent && end.head)
+            earliest.add(end.retryAt);
+    }
+    for (const auto &[reply, reader] : state.readers) {
+        if (!reader.reading)
+            earliest.add(reader.nextRead);
+    }
+    for (const auto &[id, load] : state.loading) {
+        if (!load.sent)
+            earliest.add(load.retryAt);
+    }
+    for (const auto &[id, watch] : state.takeovers) {
+        if (!watch.claiming)
+            earliest.add(now + state.settings.takeoverStep);
+    }
+    if (!state.runs.empty())
+        earliest.add(state.nextPaceCheck);
+    addPauses(state, now, earliest);
+    return earliest.due;
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -0,0 +1,245 @@
+#include "batch_context.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+using Submissions = std::map<BatchId, PendingSubmission>;
+
+void answer(BatchContext &context, const PendingSubmission &submission, SubmitVerdict verdict)
+{
+    for (const ReplyToken asker : submission.askers)
+        context.actions.emplace_back(AnswerSubmit{asker, submission.order->id, verdict});
+}
+
+void answer(BatchContext &context, ReplyToken reply, const BatchId &id, std::uint32_t total,
+            std::uint64_t after, const std::vector<ItemResult> &listed, std::size_t first)
+{
+    AnswerResults answer{reply, id, ReadVerdict::Found, total, after, {}};
+    std::size_t bytes = 0;
+    for (std::size_t i = first; i < listed.size(); ++i) {
+        bytes += listed[i].text.size();
+        if (i > first && bytes > context.state.settings.bytesOfAnswer)
+            break;
+        answer.results.push_back(listed[i]);
+    }
+    context.actions.emplace_back(std::move(answer));
+}
+
+void send(BatchContext &context, PendingSubmission &submission)
+{
+    submission.sent = true;
+    context.actions.emplace_back(StoreSubmission{submission.head, submission.order});
+}
+
+// What this node must know before it can take a batch.
+bool mayAccept(const BatchContext &context)
+{
+    const DirectoryPointer &directory = context.state.directory;
+    return directory && directory->routing && directory->batches && directory->storeClockOffset;
+}
+
+bool isKnownBatch(const BatchContext &context, const BatchId &id)
+{
+    return context.state.owned.count(id) != 0 || context.state.directory->batches->count(id) != 0;
+}
+
+void startReading(BatchContext &context, ReplyToken reply, StoreReader &reader)
+{
+    reader.reading = true;
+    context.actions.emplace_back(ReadResults{reply, reader.batch, reader.after});
+}
+
+} // namespace
+
+bool isOwnershipKnown(const BatchContext &context)
+{
+    return context.state.directory && context.now < context.state.directory->ownershipKnownUntil;
+}
+
+void onSubmitAsked(BatchContext &context, const SubmitAsked &event)
+{
+    const BatchId &id = event.order->id;
+    BatchState &state = context.state;
+    if (!mayAccept(context)) {
+        context.actions.emplace_back(
+                AnswerSubmit{event.reply, id, SubmitVerdict::StoreUnavailable});
+        return;
+    }
+    if (isKnownBatch(context, id)) {
+        context.actions.emplace_back(AnswerSubmit{event.reply, id, SubmitVerdict::Accepted});
+        return;
+    }
+    const auto known = state.submissions.find(id);
+    if (known != state.submissions.end()) {
+        known->second.askers.push_back(event.reply);
+        known->second.answerBy = context.now + state.settings.storePatience;
+        return;
+    }
+    if (routeOf(context, *event.order) == nullptr) {
+        context.actions.emplace_back(AnswerSubmit{event.reply, id, SubmitVerdict::NoRoute});
+        return;
+    }
+    PendingSubmission submission;
+    submission.order = event.order;
+    submission.head.id = id;
+    // A node that is about to stop leaves the batch to another one.
+    if (!state.draining)
+        submission.head.owner = state.self.id;
+    submission.head.ownerIncarnation = state.self.incarnation;
+    submission.head.total = static_cast<std::uint32_t>(event.order->items.size());
+    submission.head.submittedAt =
+            context.now.time_since_epoch() + *state.directory->storeClockOffset;
+    submission.askers.push_back(event.reply);
+    submission.answerBy = context.now + state.settings.storePatience;
+    send(context, state.submissions.emplace(id, std::move(submission)).first->second);
+}
+
+void onSubmissionStored(BatchContext &context, const SubmissionStored &event)
+{
+    BatchState &state = context.state;
+    const auto position = state.submissions.find(event.batch);
+    if (position == state.submissions.end())
+        return;
+    PendingSubmission &submission = position->second;
+    submission.sent = false;
+    submission.retryAt = context.now + state.settings.storeRetryDelay;
+    if (event.outcome == StoreOutcome::Unknown)
+        submission.maybeStored = true;
+    const bool isStored = event.outcome == StoreOutcome::Done
+                          || (event.outcome == StoreOutcome::Conflict && event.found);
+    if (!isStored)
+        return advanceSubmissions(context);
+    answer(context, submission, SubmitVerdict::Accepted);
+    BatchHead head = event.found.value_or(submission.head);
+    if (event.outcome == StoreOutcome::Done)
+        head.version = event.version;
+    const std::shared_ptr<const BatchOrder> order = submission.order;
+    state.submissions.erase(position);
+    const bool isOwn =
+            head.owner == state.self.id && head.ownerIncarnation == state.self.incarnation;
+    if (isOwn && !head.ended)
+        openBatch(context, head, order, OwnershipChange::Opened);
+}
+
+void advanceSubmissions(BatchContext &context)
+{
+    Submissions &submissions = context.state.submissions;
+    for (auto position = submissions.begin(); position != submissions.end();) {
+        PendingSubmission &submission = position->second;
+        const bool isOver = submission.answerBy <= context.now;
+        const bool isUncertain = submission.maybeStored || submission.sent;
+        if (isOver && !submission.askers.empty()) {
+            answer(context, submission,
+                   isUncertain ? SubmitVerdict::Uncertain : SubmitVerdict::StoreUnavailable);
+            submission.askers.clear();
+        }
+        // One that may be stored is looked after until the store tells.
+        if (isOver && !isUncertain) {
+            position = submissions.erase(position);
+            continue;
+        }
+        if (!submission.sent && submission.retryAt <= context.now)
+            send(context, submission);
+        ++position;
+    }
+}
+
+void onResultsAsked(BatchContext &context, const ResultsAsked &event)
+{
+    const auto position = context.state.owned.find(event.batch);
+    if (position != context.state.owned.end() && isOwnershipKnown(context)) {
+        position->second.waiters.push_back({event.reply, event.after, context.now + event.wait});
+        return answerWaiters(context, position->second);
+    }
+    StoreReader reader;
+    reader.batch = event.batch;
+    reader.after = event.after;
+    reader.until = context.now + event.wait;
+    startReading(context, event.reply,
+                 context.state.readers.emplace(event.reply, std::move(reader)).first->second);
+}
+
+void answerWaiters(BatchContext &context, OwnedBatch &batch)
+{
+    std::erase_if(batch.waiters, [&](const BatchWaiter &waiter) {
+        const bool hasResults = waiter.after < batch.listed.size();
+        const bool isComplete = batch.listed.size() == batch.items.size();
+        if (!hasResults && !isComplete && waiter.until > context.now)
+            return false;
+        const std::size_t first = std::min<std::size_t>(waiter.after, batch.listed.size());
+        answer(context, waiter.reply, batch.head.id, batch.head.total, waiter.after, batch.listed,
+               first);
+        return true;
+    });
+}
+
+void onResultsRead(BatchContext &context, const ResultsRead &event)
+{
+    const auto position = context.state.readers.find(event.reply);
+    if (position == context.state.readers.end())
+        return;
+    StoreReader &reader = position->second;
+    reader.reading = false;
+    const bool waits = event.answered && event.exists && event.results.empty() && !event.ended
+                       && reader.after < event.total && reader.until > context.now;
+    if (waits) {
+        reader.nextRead = context.now + context.state.settings.readPeriod;
+        return;
+    }
+    // A batch whose storing is not decided may exist a moment later.
+    const bool isPending = context.state.submissions.count(reader.batch) != 0;
+    if (!event.answered || (!event.exists && isPending))
+        context.actions.emplace_back(
+                AnswerResults{event.reply, reader.batch, ReadVerdict::StoreUnavailable, 0, 0, {}});
+    else if (!event.exists)
+        context.actions.emplace_back(
+                AnswerResults{event.reply, reader.batch, ReadVerdict::Unknown, 0, 0, {}});
+    else
+        answer(context, event.reply, reader.batch, event.total, reader.after, event.results, 0);
+    context.state.readers.erase(position);
+}
+
+void advanceReaders(BatchContext &context)
+{
+    for (auto &[reply, reader] : context.state.readers) {
+        if (!reader.reading && reader.nextRead <= context.now)
+            startReading(context, reply, reader);
+    }
+    for (auto &[id, batch] : context.state.owned)
+        answerWaiters(context, batch);
+}
+
+void onItemBodyAsked(BatchContext &context, const ItemBodyAsked &event)
+{
+    const auto position = context.state.owned.find(event.batch);
+    if (position == context.state.owned.end()) {
+        context.state.itemReaders[event.batch].push_back({event.reply, event.item});
+        return loadBatch(context, event.batch, false);
+    }
+    const auto &items = position->second.order->items;
+    const auto found = std::find_if(items.begin(), items.end(),
+                                    [&](const BatchItem &item) { return item.id == event.item; });
+    if (found == items.end())
+        context.actions.emplace_back(
+                AnswerItemBody{event.reply, event.batch, ReadVerdict::Unknown, {}});
+    else
+        context.actions.emplace_back(
+                AnswerItemBody{event.reply, event.batch, ReadVerdict::Found, found->body});
+}
+
+void onAskerLeft(BatchContext &context, const AskerLeft &event)
+{
+    const auto isGone = [&](const auto &waiting) { return waiting.reply == event.reply; };
+    context.state.readers.erase(event.reply);
+    for (auto &[id, batch] : context.state.owned)
+        std::erase_if(batch.waiters, isGone);
+    for (auto &[id, submission] : context.state.submissions)
+        std::erase(submission.askers, event.reply);
+    for (auto &[id, readers] : context.state.itemReaders)
+        std::erase_if(readers, isGone);
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -0,0 +1,387 @@
+#include "batch_context.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+// Urgency of a run at its engine; 5 is what an engine assumes without any.
+constexpr std::uint32_t usualUrgency = 5;
+constexpr std::uint32_t resumedUrgency = 3;
+constexpr double paceWeight = 0.2; // Of the newest event in the smoothed time.
+constexpr Duration longestRun = std::chrono::seconds(60);
+
+struct WaitingItem
+{
+    OwnedBatch *batch = nullptr;
+    std::uint32_t index = 0;
+    bool begun = false; ///< It has a text, or was refused: others of its group may wait for it.
+    std::uint64_t expected = 0;
+};
+
+struct FoundRun
+{
+    RunRecord *record = nullptr;
+    OwnedBatch *batch = nullptr;
+    ItemState *item = nullptr;
+};
+
+// A run that is still wanted; all null for one that has been cancelled.
+FoundRun findRun(BatchContext &context, OperationId run)
+{
+    const auto position = context.state.runs.find(run);
+    if (position == context.state.runs.end() || position->second.cancelled)
+        return {};
+    OwnedBatch &batch = context.state.owned.at(position->second.batch);
+    return {&position->second, &batch, &batch.items[position->second.item]};
+}
+
+std::vector<WaitingItem> collectWaiting(BatchContext &context)
+{
+    std::vector<WaitingItem> waiting;
+    for (auto &[id, batch] : context.state.owned) {
+        for (std::uint32_t i = 0; i < batch.items.size(); ++i) {
+            const ItemState &item = batch.items[i];
+            if (item.phase == ItemPhase::Waiting && item.notBefore <= context.now)
+                waiting.push_back({&batch, i, item.runs > 0 || item.lastEvent > 0,
+                                   batch.order->items[i].expectedTokens});
+        }
+    }
+    // The longest first, so that they do not run alone at the end.
+    std::stable_sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
+        return std::tuple(a.begun, a.expected) > std::tuple(b.begun, b.expected);
+    });
+    return waiting;
+}
+
+void startRun(BatchContext &context, OwnedBatch &batch, std::uint32_t index,
+              const FleetTarget &engine, const Route &route)
+{
+    ItemState &item = batch.items[index];
+    const OperationId run = context.state.nextOperation;
+    context.state.nextOperation = next(run);
+    ++context.state.engines[engine.target.id].running;
+    RunRecord record;
+    record.batch = batch.head.id;
+    record.item = index;
+    record.target = engine.target.id;
+    record.startedAt = context.now;
+    record.lastEventAt = context.now;
+    record.firstEvent = item.lastEvent;
+    context.state.runs.emplace(run, record);
+    const Duration limit = route.giveUpAfter > Duration{} ? route.giveUpAfter : longestRun;
+    const std::uint32_t urgency = item.cause == RunCause::First ? usualUrgency : resumedUrgency;
+    context.actions.emplace_back(StartRun{run, engine.target, batch.head.id, batch.order, index,
+                                          item.lastEvent, urgency, batch.submittedAt + limit,
+                                          item.cause});
+    item.phase = ItemPhase::Running;
+    item.run = run;
+    item.lastTarget = engine.target.id;
+    ++item.runs;
+}
+
+void startWaiting(BatchContext &context)
+{
+    for (const WaitingItem &waiting : collectWaiting(context)) {
+        OwnedBatch &batch = *waiting.batch;
+        const Route *route = routeOf(context, *batch.order);
+        if (route == nullptr)
+            continue;
+        const std::string &itemId = batch.order->items[waiting.index].id.value;
+        const ServiceName *service = pickService(*route, XXH3_64bits(itemId.data(), itemId.size()));
+        if (service == nullptr)
+            continue;
+        const FleetTarget *engine =
+                chooseEngine(context, *batch.order, batch.items[waiting.index], *service);
+        if (engine != nullptr)
+            startRun(context, batch, waiting.index, *engine, *route);
+    }
+}
+
+void startScores(BatchContext &context)
+{
+    for (auto &[id, batch] : context.state.owned) {
+        for (std::size_t i = 0; i < batch.items.size(); ++i) {
+            ItemState &item = batch.items[i];
+            if (item.phase != ItemPhase::Unscored || item.notBefore > context.now)
+                continue;
+            item.phase = ItemPhase::Scoring;
+            context.actions.emplace_back(
+                    ScoreAsked{id, batch.order->items[i].id, *batch.order->items[i].scoring});
+        }
+    }
+}
+
+void finish(BatchContext &context, OwnedBatch &batch, std::uint32_t index, ItemOutcome outcome,
+            std::string score)
+{
+    ItemState &item = batch.items[index];
+    item.phase = ItemPhase::Finished;
+    ItemResult result;
+    result.id = batch.order->items[index].id;
+    result.outcome = outcome;
+    if (outcome == ItemOutcome::Completed) {
+        result.text = item.text;
+        result.versions = item.versions;
+        result.score = std::move(score);
+    }
+    batch.unlisted.push_back(std::move(result));
+    item.text.clear();
+    item.text.shrink_to_fit();
+    advanceCommit(context, batch);
+}
+
+void wait(ItemState &item, RunCause cause, Time notBefore)
+{
+    item.phase = ItemPhase::Waiting;
+    item.run = {};
+    item.cause = cause;
+    item.notBefore = notBefore;
+}
+
+void restartText(ItemState &item)
+{
+    item.text.clear();
+    item.lastEvent = 0;
+    item.storedEvent = 0;
+    item.versions.clear();
+}
+
+void finishText(BatchContext &context, OwnedBatch &batch, std::uint32_t index)
+{
+    ItemState &item = batch.items[index];
+    item.run = {};
+    item.notBefore = context.now;
+    if (batch.order->items[index].scoring)
+        item.phase = ItemPhase::Unscored;
+    else
+        finish(context, batch, index, ItemOutcome::Completed, {});
+}
+
+// Breaks a run off whose text cannot go on there.
+void abandonRun(BatchContext &context, OperationId run, RunCause cause, Duration targetPause)
+{
+    const FoundRun found = findRun(context, run);
+    context.state.engines[found.record->target].notBefore = context.now + targetPause;
+    wait(*found.item, cause, context.now);
+    cancelRun(context, run);
+}
+
+void notePace(BatchContext &context, RunRecord &record)
+{
+    EngineUse &use = context.state.engines[record.target];
+    const Duration time = context.now - record.lastEventAt;
+    record.lastEventAt = context.now;
+    use.lastEventAt = context.now;
+    // The first event of a run waits for its prompt to be read.
+    if (record.events++ == 0)
+        return;
+    if (use.eventTime == Duration{})
+        use.eventTime = time;
+    else
+        use.eventTime = std::chrono::duration_cast<Duration>(time * paceWeight
+                                                             + use.eventTime * (1 - paceWeight));
+}
+
+// \return false when the run has been broken off because of its version.
+bool takeVersion(BatchContext &context, OperationId run, WeightVersion version)
+{
+    const FoundRun found = findRun(context, run);
+    found.record->version = version;
+    found.record->hasVersion = true;
+    const BatchOrder &order = *found.batch->order;
+    WeightVersion &known = context.state.engines[found.record->target].versions[order.model];
+    known = std::max(known, version);
+    if (version < order.leastVersion) {
+        known = {};
+        abandonRun(context, run, RunCause::AfterRefusal, context.state.settings.lostTargetPause);
+        return false;
+    }
+    const Route *route = routeOf(context, order);
+    const auto &versions = found.item->versions;
+    if (route != nullptr && route->singleVersion && !versions.empty() && versions[0] != version) {
+        restartText(*found.item);
+        abandonRun(context, run, RunCause::AfterLoss, Duration{});
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+const Route *routeOf(const BatchContext &context, const BatchOrder &order)
+{
+    const DirectoryPointer &directory = context.state.directory;
+    if (!directory || !directory->routing)
+        return nullptr;
+    const Route *route = findRoute(*directory->routing, order.host, order.path);
+    return route != nullptr && route->kind == RouteKind::Batch ? route : nullptr;
+}
+
+void startRuns(BatchContext &context)
+{
+    if (!context.state.draining && context.state.directory)
+        startWaiting(context);
+    startScores(context);
+}
+
+void cancelRun(BatchContext &context, OperationId run)
+{
+    const auto position = context.state.runs.find(run);
+    if (position == context.state.runs.end() || std::exchange(position->second.cancelled, true))
+        return;
+    context.actions.emplace_back(CancelRun{run});
+}
+
+void onRunOpened(BatchContext &context, const RunOpened &event)
+{
+    const FoundRun found = findRun(context, event.run);
+    if (found.record != nullptr && event.version)
+        takeVersion(context, event.run, *event.version);
+}
+
+void onRunProgressed(BatchContext &context, const RunProgressed &event)
+{
+    const FoundRun found = findRun(context, event.run);
+    if (found.record == nullptr || event.number <= found.item->lastEvent)
+        return;
+    if (event.version && !takeVersion(context, event.run, *event.version))
+        return;
+    ItemState &item = *found.item;
+    // Without a version the text could not be labelled; a gap would leave a piece out.
+    if (!found.record->hasVersion || event.number != item.lastEvent + 1)
+        return abandonRun(context, event.run, RunCause::AfterLoss,
+                          context.state.settings.lostTargetPause);
+    notePace(context, *found.record);
+    if (item.lastEvent > 0)
+        item.text += '\n';
+    item.text += event.text;
+    item.lastEvent = event.number;
+    auto &versions = item.versions;
+    const auto place = std::lower_bound(versions.begin(), versions.end(), found.record->version);
+    if (place == versions.end() || *place != found.record->version)
+        versions.insert(place, found.record->version);
+}
+
+void onRunEnded(BatchContext &context, const RunEnded &event)
+{
+    const auto entry = context.state.runs.extract(event.run);
+    if (entry.empty())
+        return;
+    const RunRecord &record = entry.mapped();
+    EngineUse &use = context.state.engines[record.target];
+    --use.running;
+    if (record.cancelled)
+        return;
+    OwnedBatch &batch = context.state.owned.at(record.batch);
+    ItemState &item = batch.items[record.item];
+    const BatchSettings &settings = context.state.settings;
+    const Route *route = routeOf(context, *batch.order);
+    const std::uint32_t attempts = route == nullptr ? 1 : route->maxAttempts;
+    switch (event.end) {
+    case RunEnd::Complete:
+        if (item.lastEvent > 0)
+            return finishText(context, batch, record.item);
+        use.notBefore = context.now + settings.lostTargetPause;
+        return wait(item, RunCause::AfterLoss, context.now);
+    case RunEnd::Unmarked:
+        // Asked once more for what follows; nothing means that the text was whole.
+        if (record.events == 0 && item.lastEvent > 0)
+            return finishText(context, batch, record.item);
+        return wait(item, RunCause::AfterLoss, context.now);
+    case RunEnd::Broken:
+        if (record.events == 0)
+            use.notBefore = context.now + settings.lostTargetPause;
+        return wait(item, RunCause::AfterLoss, context.now);
+    case RunEnd::Refused:
+        use.notBefore = context.now + settings.targetPause;
+        return wait(item, RunCause::AfterRefusal, context.now);
+    case RunEnd::WrongTarget:
+        use.notBefore = context.now + settings.lostTargetPause;
+        return wait(item, RunCause::AfterRefusal, context.now);
+    case RunEnd::Failed:
+        if (++item.failures >= attempts)
+            return finish(context, batch, record.item, ItemOutcome::Lost, {});
+        return wait(item, RunCause::AfterFailure, context.now);
+    case RunEnd::Impossible:
+        if (++item.impossible >= settings.impossibleAnswers)
+            return finish(context, batch, record.item, ItemOutcome::Lost, {});
+        return wait(item, RunCause::AfterFailure, context.now);
+    }
+}
+
+void onScoreEnded(BatchContext &context, const ScoreEnded &event)
+{
+    const auto position = context.state.owned.find(event.batch);
+    if (position == context.state.owned.end())
+        return;
+    OwnedBatch &batch = position->second;
+    const auto &orders = batch.order->items;
+    const auto order = std::find_if(orders.begin(), orders.end(), [&](const BatchItem &candidate) {
+        return candidate.id == event.item;
+    });
+    if (order == orders.end())
+        return;
+    const auto index = static_cast<std::uint32_t>(order - orders.begin());
+    ItemState &item = batch.items[index];
+    if (item.phase != ItemPhase::Scoring)
+        return;
+    if (event.outcome == ScoreEnded::Outcome::Scored)
+        return finish(context, batch, index, ItemOutcome::Completed, event.score);
+    if (event.outcome == ScoreEnded::Outcome::Failed
+        && ++item.scoreFailures >= event.failuresAllowed)
+        return finish(context, batch, index, ItemOutcome::Lost, {});
+    item.phase = ItemPhase::Unscored;
+    item.notBefore = context.now + context.state.settings.scoreRetryDelay;
+}
+
+void moveSlowRuns(BatchContext &context)
+{
+    BatchState &state = context.state;
+    if (state.runs.empty() || context.now < state.nextPaceCheck || !state.directory)
+        return;
+    state.nextPaceCheck = context.now + state.settings.paceCheckPeriod;
+    std::vector<OperationId> slow;
+    for (const auto &[run, record] : state.runs) {
+        if (!record.cancelled && context.now - record.startedAt >= state.settings.leastStay
+            && isSlow(context, record.target))
+            slow.push_back(run);
+    }
+    for (const OperationId run : slow) {
+        const FoundRun found = findRun(context, run);
+        const Route *route = routeOf(context, *found.batch->order);
+        const ServiceName *service = route == nullptr ? nullptr : pickService(*route, 0);
+        if (service == nullptr)
+            continue;
+        const FleetTarget *engine =
+                chooseEngine(context, *found.batch->order, *found.item, *service);
+        if (engine == nullptr || isSlow(context, engine->target.id))
+            continue;
+        wait(*found.item, RunCause::Moved, context.now);
+        const std::uint32_t index = found.record->item;
+        cancelRun(context, run);
+        startRun(context, *found.batch, index, *engine, *route);
+    }
+}
+
+void giveUpLate(BatchContext &context, OwnedBatch &batch)
+{
+    const Route *route = routeOf(context, *batch.order);
+    if (route == nullptr || route->giveUpAfter == Duration{}
+        || context.now < batch.submittedAt + route->giveUpAfter)
+        return;
+    for (std::uint32_t i = 0; i < batch.items.size(); ++i) {
+        ItemState &item = batch.items[i];
+        if (item.phase == ItemPhase::Finished)
+            continue;
+        if (item.phase == ItemPhase::Running)
+            cancelRun(context, item.run);
+        finish(context, batch, i, ItemOutcome::Lost, {});
+    }
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -0,0 +1,98 @@
+#include "batch_context.hpp"
+
+#include <algorithm>
+
+namespace geraniumpulley::core {
+namespace {
+
+// Without runs for this long what is known of an engine's pace says nothing any more.
+constexpr Duration paceMemory = std::chrono::seconds(3);
+// Engines whose pace must be known before one of them is called slow.
+constexpr std::size_t leastPaces = 2;
+
+Duration eventTimeOf(const BatchContext &context, const TargetId &target)
+{
+    const auto position = context.state.engines.find(target);
+    if (position == context.state.engines.end()
+        || context.now - position->second.lastEventAt > paceMemory)
+        return {};
+    return position->second.eventTime;
+}
+
+// The pace of the faster half, which a few slow engines do not change.
+Duration usualEventTime(const BatchContext &context)
+{
+    std::vector<Duration> times;
+    for (const auto &[target, use] : context.state.engines) {
+        const Duration time = eventTimeOf(context, target);
+        if (time > Duration{})
+            times.push_back(time);
+    }
+    if (times.size() < leastPaces)
+        return {};
+    std::sort(times.begin(), times.end());
+    return times[(times.size() - 1) / 2];
+}
+
+bool hasWeights(const EngineUse *use, const FleetTarget &engine, const BatchOrder &order)
+{
+    WeightVersion version{};
+    const auto told = engine.weights.find(order.model);
+    if (told != engine.weights.end())
+        version = told->second;
+    if (use != nullptr) {
+        const auto seen = use->versions.find(order.model);
+        if (seen != use->versions.end())
+            version = std::max(version, seen->second);
+    }
+    return version >= order.leastVersion;
+}
+
+struct Choice
+{
+    const FleetTarget *engine = nullptr;
+    int rank = 0;
+    double load = 0;
+};
+
+} // namespace
+
+bool isSlow(const BatchContext &context, const TargetId &target)
+{
+    const Duration usual = usualEventTime(context);
+    const Duration own = eventTimeOf(context, target);
+    return usual > Duration{} && own > usual * context.state.settings.slowFactor;
+}
+
+const FleetTarget *chooseEngine(const BatchContext &context, const BatchOrder &order,
+                                const ItemState &item, const ServiceName &service)
+{
+    const auto serving = servingTargets(*context.state.directory->targets, service);
+    const auto assigned = assignModels(serving, modelsOf(serving));
+    const BatchSettings &settings = context.state.settings;
+    Choice best;
+    for (const FleetTarget *engine : serving) {
+        const TargetId &id = engine->target.id;
+        const auto position = context.state.engines.find(id);
+        const EngineUse *use =
+                position == context.state.engines.end() ? nullptr : &position->second;
+        if (!hasWeights(use, *engine, order) || (use != nullptr && use->notBefore > context.now))
+            continue;
+        const auto model = assigned.find(id);
+        const bool isOwn = model != assigned.end() && model->second == order.model;
+        const std::uint32_t room =
+                isOwn ? engine->slots : engine->slots * settings.spillPercent / 100;
+        const std::uint32_t running = use == nullptr ? 0 : use->running;
+        if (running >= room)
+            continue;
+        // Engines of other models, the one that has just failed and slow ones come after.
+        const int rank =
+                (isOwn ? 0 : 1) + (id == item.lastTarget ? 2 : 0) + (isSlow(context, id) ? 4 : 0);
+        const double load = static_cast<double>(running) / engine->slots;
+        if (best.engine == nullptr || rank < best.rank || (rank == best.rank && load < best.load))
+            best = {engine, rank, load};
+    }
+    return best.engine;
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/fleet/fleet.cpp
@@ -0,0 +1,271 @@
+#include <geraniumpulley/core/fleet/fleet.hpp>
+
+#include "fleet_rows.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+using Actions = std::vector<FleetAction>;
+
+constexpr const char *ordersKey = "weight-orders";
+
+// The feeds of routing and batches are asked again at once, because their changes are wanted
+// quickly; targets change with each heartbeat of any of them, so those are asked with a pause.
+constexpr FollowSettings followRouting{std::chrono::milliseconds(50),
+                                       std::chrono::milliseconds(1000),
+                                       std::chrono::milliseconds(1200)};
+constexpr FollowSettings followTargets{std::chrono::milliseconds(400), Duration{},
+                                       std::chrono::milliseconds(1500)};
+constexpr FollowSettings followNodes{std::chrono::milliseconds(350), Duration{}, Duration{}};
+constexpr FollowSettings followBatches{std::chrono::milliseconds(50),
+                                       std::chrono::milliseconds(1000),
+                                       std::chrono::milliseconds(2000)};
+
+struct Handler
+{
+    FleetState &state;
+    Time now;
+    Actions actions;
+
+    void operator()(const TableRead &event)
+    {
+        noteAnswer(this->follower(event.table), event.whole, event.upTo, this->now);
+        if (event.storeClock > Duration{})
+            this->state.storeClockOffset = event.storeClock - this->now.time_since_epoch();
+        applyRows(this->state, event, this->now);
+    }
+
+    void operator()(const TableReadFailed &event)
+    {
+        noteFailure(this->follower(event.table), event.historyGone, this->now);
+        if (event.table == FleetTable::Targets && !event.historyGone)
+            this->state.targetsFailedAt = this->now;
+    }
+
+    void operator()(const BeatWritten &event)
+    {
+        this->state.beating = false;
+        this->state.presenceChanged = true;
+        if (event.done)
+            this->state.ownershipKnownUntil = event.sentAt + this->state.settings.ownershipProof;
+    }
+
+    void operator()(const OrdersLeaseWritten &event)
+    {
+        FleetState &state = this->state;
+        state.leaseWriting = false;
+        if (event.outcome != StoreOutcome::Done || event.version <= state.lease.version)
+            return;
+        const bool followsOther =
+                state.lease.version != RowVersion{} && state.lease.holder != state.settings.self.id;
+        state.lease = {state.settings.self.id, state.settings.self.incarnation, event.version};
+        if (state.draining)
+            state.lease.holder = {};
+        state.ordersAllowedFrom = followsOther ? this->now + state.settings.leaseTime : this->now;
+        state.orders.engines.clear();
+    }
+
+    void operator()(const EngineStateHeard &event)
+    {
+        if (!this->mayOrder())
+            return;
+        const auto order = noteEngineState(this->state.orders, this->state.published, event.target,
+                                           event.state, fenceOf(this->state.lease), this->now);
+        if (order)
+            this->actions.emplace_back(*order);
+    }
+
+    void operator()(const WeightOrderReplied &event)
+    {
+        noteOrderReply(this->state.orders, event.target, event.reply, this->now);
+    }
+
+    void operator()(const ClockSuspended &)
+    {
+        this->state.ownershipKnownUntil = {};
+        this->state.nextBeat = this->now;
+        this->state.presenceChanged = true;
+    }
+
+    void operator()(const FleetDraining &)
+    {
+        this->state.draining = true;
+        this->state.nextBeat = this->now;
+    }
+
+    void operator()(const FleetTick &) { }
+
+    // What follows from the state alone, after each event.
+    void advance()
+    {
+        this->readTables();
+        this->beat();
+        dropLapsed(this->state, this->now);
+        this->advanceLease();
+        this->publish();
+        if (!this->mayOrder())
+            return;
+        for (const AskEngineState &order :
+             planOrders(this->state.orders, this->state.published, this->now))
+            this->actions.emplace_back(order);
+    }
+
+    TableFollower &follower(FleetTable table)
+    {
+        return this->state.followers[static_cast<std::size_t>(table)];
+    }
+
+    void readTables()
+    {
+        for (std::size_t i = 0; i < fleetTableCount; ++i) {
+            const auto table = static_cast<FleetTable>(i);
+            const auto read = nextRead(this->state.followers[i], this->now);
+            if (!read)
+                continue;
+            if (const auto *changes = std::get_if<ReadTableChanges>(&*read))
+                this->actions.emplace_back(FollowTable{table, changes->after, changes->wait});
+            else
+                this->actions.emplace_back(ReadTable{table});
+        }
+    }
+
+    void beat()
+    {
+        FleetState &state = this->state;
+        if (state.beating || this->now < state.nextBeat)
+            return;
+        state.beating = true;
+        state.nextBeat = this->now + state.settings.presence.beatPeriod;
+        ++state.beats;
+        this->actions.emplace_back(WriteBeat{{state.settings.self, state.beats, state.draining}});
+    }
+
+    bool holdsLease() const
+    {
+        const OrdersLease &lease = this->state.lease;
+        return lease.holder == this->state.settings.self.id
+               && lease.incarnation == this->state.settings.self.incarnation;
+    }
+
+    bool mayOrder() const
+    {
+        return this->holdsLease() && !this->state.draining
+               && this->now >= this->state.ordersAllowedFrom
+               && this->now < this->state.ownershipKnownUntil;
+    }
+
+    // Takes the lease when nobody has it, and gives it up in a planned stop.
+    void advanceLease()
+    {
+        FleetState &state = this->state;
+        if (!state.batchesKnown || state.leaseWriting)
+            return;
+        if (this->holdsLease()) {
+            if (state.draining)
+                this->writeLease({{}, 0, {}});
+            return;
+        }
+        const OrdersLease &lease = state.lease;
+        const bool isFree = lease.holder.value.empty()
+                            || isGone(state.presence, lease.holder, lease.incarnation, this->now);
+        if (!isFree || state.draining) {
+            state.leaseFreeSince.reset();
+            return;
+        }
+        if (!state.leaseFreeSince)
+            state.leaseFreeSince = this->now;
+        const std::size_t rank = takeoverRank(ordersKey, liveNodes(state.presence, this->now),
+                                              state.settings.self.id);
+        if (this->now - *state.leaseFreeSince >= state.settings.takeoverStep * rank)
+            this->writeLease({state.settings.self.id, state.settings.self.incarnation, {}});
+    }
+
+    void writeLease(OrdersLease lease)
+    {
+        this->state.leaseWriting = true;
+        this->actions.emplace_back(WriteOrdersLease{std::move(lease), this->state.lease.version});
+    }
+
+    void publish()
+    {
+        FleetState &state = this->state;
+        if (!state.changed && !state.presenceChanged)
+            return;
+        Directory &next = state.published;
+        next.routing = state.routing;
+        if (state.changed) {
+            auto targets = std::make_shared<TargetMap>();
+            for (const auto &[id, known] : state.targets)
+                targets->emplace(id, known.target);
+            next.targets = std::move(targets);
+            next.desiredWeights = std::make_shared<WeightMap>(state.desiredWeights);
+            if (state.batchesKnown)
+                next.batches = std::make_shared<BatchMap>(state.batches);
+        }
+        next.presence = state.presence;
+        next.ownershipKnownUntil = state.ownershipKnownUntil;
+        next.storeClockOffset = state.storeClockOffset;
+        this->actions.emplace_back(
+                PublishDirectory{std::make_shared<Directory>(next), state.changed});
+        state.changed = false;
+        state.presenceChanged = false;
+    }
+
+    static FencingNumber fenceOf(const OrdersLease &lease)
+    {
+        return static_cast<FencingNumber>(lease.version);
+    }
+};
+
+} // namespace
+
+FleetState makeFleetState(FleetSettings settings, Time now)
+{
+    FleetState state;
+    state.presence = makePresence(settings.self.id, settings.presence, now);
+    state.settings = std::move(settings);
+    const std::array<FollowSettings, fleetTableCount> follows{followRouting, followTargets,
+                                                              followNodes, followBatches};
+    for (std::size_t i = 0; i < fleetTableCount; ++i)
+        state.followers[i].settings = follows[i];
+    state.published.targets = std::make_shared<TargetMap>();
+    state.published.desiredWeights = std::make_shared<WeightMap>();
+    state.published.presence = state.presence;
+    return state;
+}
+
+std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now)
+{
+    Handler handler{state, now, {}};
+    std::visit(handler, event);
+    handler.advance();
+    return std::move(handler.actions);
+}
+
+Time dueAt(const FleetState &state)
+{
+    Time due = state.beating ? state.nextBeat + state.settings.beatLimit : state.nextBeat;
+    for (const TableFollower &follower : state.followers)
+        due = std::min(due, dueAt(follower).value_or(due));
+    return std::min(due, dueAt(state.orders).value_or(due));
+}
+
+std::size_t takeoverRank(const std::string &key, const std::vector<Node> &nodes, const NodeId &self)
+{
+    const auto scoreOf = [&](const NodeId &node) {
+        return XXH3_64bits_withSeed(key.data(), key.size(),
+                                    XXH3_64bits(node.value.data(), node.value.size()));
+    };
+    const std::uint64_t own = scoreOf(self);
+    return static_cast<std::size_t>(
+            std::count_if(nodes.begin(), nodes.end(), [&](const Node &node) {
+                return node.id != self && scoreOf(node.id) > own;
+            }));
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/core/src/fleet/table_follower.cpp
@@ -0,0 +1,55 @@
+#include <geraniumpulley/core/fleet/table_follower.hpp>
+
+#include <algorithm>
+
+namespace geraniumpulley::core {
+namespace {
+
+bool isWholeDue(const TableFollower &follower, Time now)
+{
+    const bool isRead = follower.settings.rereadPeriod > Duration{};
+    return isRead && (follower.wantsWhole || now >= follower.nextWhole);
+}
+
+} // namespace
+
+std::optional<FollowerRead> nextRead(TableFollower &follower, Time now)
+{
+    if (follower.reading || now < follower.nextRead)
+        return std::nullopt;
+    follower.reading = true;
+    if (isWholeDue(follower, now))
+        return ReadWholeTable{};
+    return ReadTableChanges{follower.upTo, follower.settings.wait};
+}
+
+std::optional<Time> dueAt(const TableFollower &follower)
+{
+    if (follower.reading)
+        return std::nullopt;
+    return follower.nextRead;
+}
+
+void noteAnswer(TableFollower &follower, bool wasWhole, RowVersion upTo, Time now)
+{
+    follower.reading = false;
+    follower.upTo = std::max(follower.upTo, upTo);
+    follower.nextRead = now + follower.settings.pause;
+    if (!wasWhole)
+        return;
+    follower.wantsWhole = false;
+    follower.nextWhole = now + follower.settings.rereadPeriod;
+}
+
+// A table that is never read whole goes on from the newest version of the store, which the answer
+// to a question without history tells; what was missed comes again with the next heartbeats.
+void noteFailure(TableFollower &follower, bool historyGone, Time now)
+{
+    follower.reading = false;
+    follower.nextRead = now + follower.settings.retryDelay;
+    follower.wantsWhole = true;
+    if (historyGone && follower.settings.rereadPeriod == Duration{})
+        follower.upTo = RowVersion{};
+}
+
+} // namespace geraniumpulley::core
--- /dev/null
+++ b/packages/entry/src/batch_duty.cpp
@@ -0,0 +1,212 @@
+#include "batch_store.hpp"
+#include "duties.hpp"
+
+#include <geraniumpulley/platform/client_messages.hpp>
+#include <geraniumpulley/platform/target_messages.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+using runtime::field;
+
+constexpr core::Duration connectLimit = std::chrono::milliseconds(400);
+// Longer than a load of weights, during which an engine may make no token.
+constexpr core::Duration runSilenceLimit = std::chrono::milliseconds(1500);
+
+const char *nameOf(core::RunCause cause)
+{
+    switch (cause) {
+    case core::RunCause::First:
+        return "first";
+    case core::RunCause::AfterLoss:
+        return "after_loss";
+    case core::RunCause::AfterRefusal:
+        return "after_refusal";
+    case core::RunCause::AfterFailure:
+        return "after_failure";
+    case core::RunCause::Moved:
+        return "moved";
+    case core::RunCause::TakenOver:
+        return "taken_over";
+    }
+    return "unknown";
+}
+
+const char *nameOf(core::OwnershipChange change)
+{
+    switch (change) {
+    case core::OwnershipChange::Opened:
+        return "batch_opened";
+    case core::OwnershipChange::TakenOver:
+        return "batch_taken_over";
+    case core::OwnershipChange::Ended:
+        return "batch_ended";
+    case core::OwnershipChange::Superseded:
+        return "batch_superseded";
+    case core::OwnershipChange::HandedOver:
+        return "batch_handed_over";
+    case core::OwnershipChange::Complete:
+        return "batch_complete";
+    }
+    return "unknown";
+}
+
+const char *nameOf(core::SubmitVerdict verdict)
+{
+    switch (verdict) {
+    case core::SubmitVerdict::Accepted:
+        return "accepted";
+    case core::SubmitVerdict::NoRoute:
+        return "no_route";
+    case core::SubmitVerdict::StoreUnavailable:
+        return "store_unavailable";
+    case core::SubmitVerdict::Uncertain:
+        return "uncertain";
+    }
+    return "unknown";
+}
+
+net::CancelKey keyOf(core::OperationId run)
+{
+    return static_cast<net::CancelKey>(core::number(run));
+}
+
+struct BatchDuty
+{
+    Parts &parts;
+    core::BatchState state;
+    Wakeup wakeup;
+
+    void handle(const core::BatchEvent &event)
+    {
+        if (std::holds_alternative<core::BatchTick>(event))
+            this->wakeup.noteTick();
+        for (core::BatchAction &action : core::step(this->state, event, runtime::now()))
+            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
+        this->wakeup.armFor(core::dueAt(this->state, runtime::now()));
+    }
+
+    void push(core::BatchEvent event) { this->parts.batches.deliver(std::move(event)); }
+
+    void perform(core::StoreSubmission &&order) { storeSubmission(this->parts, order); }
+    void perform(core::StoreResults &&order) { storeResults(this->parts, order); }
+    void perform(core::StoreHead &&order) { storeHead(this->parts, order); }
+    void perform(core::LoadBatch &&order) { loadBatch(this->parts, order); }
+    void perform(core::ReadResults &&order) { readResults(this->parts, order); }
+    void perform(core::RemoveBatch &&order) { removeBatch(this->parts, order); }
+
+    void perform(core::StartRun &&run)
+    {
+        const std::string &item = run.order->items[run.item].id.value;
+        this->parts.logger.write(
+                "run_started", field("item", item), field("batch", run.batch.value),
+                field("target", run.target.id.value), field("after", run.resumeAfter),
+                field("cause", nameOf(run.cause)));
+        net::HttpRequest request = platform::encodeRun(run, runtime::now());
+        request.deadline = run.deadline;
+        request.connectLimit = connectLimit;
+        request.silenceLimit = runSilenceLimit;
+        request.cancelKey = keyOf(run.run);
+        const auto events = std::make_shared<platform::EventStream>();
+        request.onHead = [this, id = run.run](net::HttpHead &&head) {
+            this->push(core::RunOpened{id, platform::decodeRunHead(head)});
+        };
+        request.onPart = [this, id = run.run, events](std::string &&piece) {
+            for (platform::StreamEvent &event : platform::decodeEvents(*events, piece))
+                this->push(core::RunProgressed{id, event.number, std::move(event.text),
+                                               event.version});
+        };
+        request.done = [this, id = run.run, item, target = run.target.id.value,
+                        sentAt = runtime::now()](net::HttpResult &&result) {
+            const core::RunEnd end = platform::decodeRunEnd(result);
+            this->logEnd(item, target, result, end, runtime::now() - sentAt);
+            this->push(core::RunEnded{id, end});
+        };
+        this->parts.engines->send(std::move(request));
+    }
+
+    void logEnd(const std::string &item, const std::string &target, const net::HttpResult &result,
+                core::RunEnd end, core::Duration time)
+    {
+        this->parts.metrics.observe("run", time);
+        if (end == core::RunEnd::Complete)
+            return;
+        this->parts.logger.write(
+                "run_broken", field("item", item), field("target", target),
+                field("status", result.status), field("failure", static_cast<int>(result.failure)),
+                field("end", static_cast<int>(end)), field("after_ms", time.count() / 1000));
+    }
+
+    void perform(core::CancelRun &&cancel)
+    {
+        if (!this->parts.engines->cancel(keyOf(cancel.run)))
+            this->parts.metrics.count("cancels_dropped");
+    }
+
+    // A scoring request that finds no room is tried again like one without an answer.
+    void perform(core::ScoreAsked &&asked)
+    {
+        core::ScoreEnded refused;
+        refused.batch = asked.batch;
+        refused.item = asked.item;
+        if (!this->parts.calls.inbox().tryPush(std::move(asked)))
+            this->push(std::move(refused));
+    }
+
+    void perform(core::AnswerSubmit &&answer)
+    {
+        this->parts.logger.write("batch_answered", field("batch", answer.batch.value),
+                                 field("verdict", nameOf(answer.verdict)));
+        this->parts.metrics.count(std::string("batches_") + nameOf(answer.verdict));
+        this->parts.callers->answer(platform::encodeAnswer(answer));
+    }
+
+    void perform(core::AnswerResults &&answer)
+    {
+        if (answer.verdict != core::ReadVerdict::Found || !answer.results.empty())
+            this->parts.logger.write("results_answered", field("batch", answer.batch.value),
+                                     field("verdict", static_cast<int>(answer.verdict)),
+                                     field("after", answer.after),
+                                     field("results", answer.results.size()));
+        this->parts.callers->answer(platform::encodeAnswer(answer));
+    }
+
+    void perform(core::AnswerItemBody &&answer)
+    {
+        this->parts.callers->answer(platform::encodeAnswer(std::move(answer)));
+    }
+
+    void perform(core::AnswerEnd &&answer)
+    {
+        this->parts.logger.write("end_answered", field("batch", answer.batch.value),
+                                 field("verdict", static_cast<int>(answer.verdict)));
+        this->parts.callers->answer(platform::encodeAnswer(answer));
+    }
+
+    void perform(core::OwnershipChanged &&change)
+    {
+        this->parts.logger.write(nameOf(change.change), field("batch", change.batch.value),
+                                 field("fence", static_cast<std::uint64_t>(change.fence)),
+                                 field("listed", change.listed), field("total", change.total));
+    }
+
+    void perform(core::BatchesDrained &&) { this->parts.batchesDrained.set(); }
+};
+
+} // namespace
+
+void startBatches(Parts &parts, const core::Node &self)
+{
+    auto duty = std::make_shared<BatchDuty>(
+            BatchDuty{parts, core::makeBatchState(self, {}), Wakeup(*parts.timer, [&parts] {
+                          static_cast<void>(parts.batches.inbox().tryPush(core::BatchTick{}));
+                      })});
+    parts.batches.start("batches", [duty](core::BatchEvent &&event) { duty->handle(event); });
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/call_duty.cpp
@@ -0,0 +1,178 @@
+#include "duties.hpp"
+
+#include <geraniumpulley/platform/client_messages.hpp>
+#include <geraniumpulley/platform/target_messages.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+using runtime::field;
+
+// A target on the same network opens a connection in a few milliseconds; one that has lost its
+// power never does.
+constexpr core::Duration connectLimit = std::chrono::milliseconds(300);
+// Longer than any pause that the events of a stream may have.
+constexpr core::Duration streamSilenceLimit = std::chrono::milliseconds(2000);
+
+const char *nameOf(core::EntryVerdict verdict)
+{
+    switch (verdict) {
+    case core::EntryVerdict::Served:
+        return "served";
+    case core::EntryVerdict::NoRoutingTable:
+        return "no_routing_table";
+    case core::EntryVerdict::NoRoute:
+        return "no_route";
+    case core::EntryVerdict::NoTarget:
+        return "no_target";
+    case core::EntryVerdict::TargetsFull:
+        return "targets_full";
+    case core::EntryVerdict::Failed:
+        return "failed";
+    case core::EntryVerdict::TimedOut:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+net::CancelKey keyOf(core::OperationId operation)
+{
+    return static_cast<net::CancelKey>(core::number(operation));
+}
+
+struct CallDuty
+{
+    Parts &parts;
+    core::EntryState state;
+    Wakeup wakeup;
+
+    void handle(const core::EntryEvent &event)
+    {
+        if (std::holds_alternative<core::EntryTick>(event))
+            this->wakeup.noteTick();
+        for (core::EntryAction &action : core::step(this->state, event, runtime::now()))
+            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
+        this->wakeup.armFor(core::dueAt(this->state));
+    }
+
+    void push(core::EntryEvent event) { this->parts.calls.deliver(std::move(event)); }
+
+    void perform(core::SendAttempt &&attempt)
+    {
+        net::HttpRequest request = platform::encodeAttempt(attempt, runtime::now());
+        request.deadline = attempt.deadline;
+        request.connectLimit = connectLimit;
+        request.cancelKey = keyOf(attempt.operation);
+        if (attempt.streams)
+            return this->sendStream(attempt, std::move(request));
+        request.done = [this, attempt, sentAt = runtime::now()](net::HttpResult &&result) {
+            this->logAttempt(attempt, result, runtime::now() - sentAt);
+            this->push(toEvent(attempt.operation, std::move(result)));
+        };
+        this->parts.targets->send(std::move(request));
+    }
+
+    // Only attempts that failed are told one by one; a good one shows in the answer's line.
+    void logAttempt(const core::SendAttempt &attempt, const net::HttpResult &result,
+                    core::Duration time)
+    {
+        this->parts.metrics.observe("call_attempt", time);
+        constexpr std::uint32_t firstError = 400;
+        if (result.failure == net::SendFailure::None && result.status < firstError)
+            return;
+        this->parts.logger.write("attempt_failed", field("request", attempt.call->requestId),
+                                 field("target", attempt.target.id.value),
+                                 field("status", result.status),
+                                 field("failure", static_cast<int>(result.failure)),
+                                 field("after_ms", time.count() / 1000));
+    }
+
+    static core::EntryEvent toEvent(core::OperationId operation, net::HttpResult &&result)
+    {
+        if (result.failure == net::SendFailure::None)
+            return platform::decodeAttemptAnswer(operation, std::move(result));
+        return core::EntryAttemptFailed{operation, result.failure == net::SendFailure::NotSent
+                                                           ? core::EntryFailure::NotSent
+                                                           : core::EntryFailure::Lost};
+    }
+
+    void sendStream(const core::SendAttempt &attempt, net::HttpRequest &&request)
+    {
+        const core::OperationId operation = attempt.operation;
+        const auto events = std::make_shared<platform::EventStream>();
+        const auto opened = std::make_shared<bool>(false);
+        request.silenceLimit = streamSilenceLimit;
+        request.onHead = [this, operation, opened](net::HttpHead &&head) {
+            *opened = true;
+            this->push(core::StreamOpened{operation, platform::decodeStreamHead(std::move(head))});
+        };
+        request.onPart = [this, operation, events](std::string &&piece) {
+            for (platform::StreamEvent &event : platform::decodeEvents(*events, piece))
+                this->push(core::StreamProgressed{operation, event.number, std::move(event.bytes)});
+        };
+        request.done = [this, attempt, opened, sentAt = runtime::now()](net::HttpResult &&result) {
+            this->logAttempt(attempt, result, runtime::now() - sentAt);
+            if (!*opened)
+                return this->push(toEvent(attempt.operation, std::move(result)));
+            this->push(
+                    core::StreamEnded{attempt.operation, result.failure == net::SendFailure::None});
+        };
+        this->parts.targets->send(std::move(request));
+    }
+
+    void perform(core::CancelAttempt &&cancel)
+    {
+        if (!this->parts.targets->cancel(keyOf(cancel.operation)))
+            this->parts.metrics.count("cancels_dropped");
+    }
+
+    void perform(core::AnswerEntry &&answer)
+    {
+        this->parts.metrics.count(std::string("calls_") + nameOf(answer.verdict));
+        this->parts.logger.write(
+                "call_answered", field("request", answer.requestId),
+                field("status", answer.answer.status), field("verdict", nameOf(answer.verdict)),
+                field("attempts", answer.attempts), field("routing", core::number(answer.routing)),
+                field("target", answer.target ? answer.target->value : "-"));
+        this->parts.callers->answer(platform::encodeAnswer(std::move(answer)));
+    }
+
+    void perform(core::StreamHead &&head)
+    {
+        this->parts.callers->answer(platform::encodeAnswer(std::move(head)));
+    }
+
+    void perform(core::StreamPiece &&piece)
+    {
+        this->parts.callers->answer(platform::encodeAnswer(std::move(piece)));
+    }
+
+    void perform(core::StreamTail &&tail)
+    {
+        this->parts.metrics.count(tail.complete ? "streams_complete" : "streams_broken");
+        this->parts.callers->answer(platform::encodeAnswer(tail));
+    }
+
+    void perform(core::ScoreEnded &&ended)
+    {
+        static_cast<void>(this->parts.batches.inbox().push(std::move(ended)));
+    }
+};
+
+} // namespace
+
+void startCalls(Parts &parts, std::uint64_t seed)
+{
+    auto duty = std::make_shared<CallDuty>(
+            CallDuty{parts, core::makeEntryState({}, seed), Wakeup(*parts.timer, [&parts] {
+                         static_cast<void>(parts.calls.inbox().tryPush(core::EntryTick{}));
+                     })});
+    parts.calls.start("calls", [duty](core::EntryEvent &&event) { duty->handle(event); });
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/daemon.cpp
@@ -0,0 +1,212 @@
+#include <geraniumpulley/entry/daemon.hpp>
+
+#include "duties.hpp"
+#include "parts.hpp"
+#include "routes.hpp"
+
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <boost/outcome/try.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+using runtime::field;
+
+// Bodies that all connections hold together; a quarter of a small machine's memory.
+constexpr std::size_t maxBufferedBytes = 64 * 1024 * 1024;
+// The balancer stops sending new connections after two missed questions, one a second.
+constexpr core::Duration balancerDelay = std::chrono::milliseconds(3200);
+// Left of the stop limit for ending the threads.
+constexpr core::Duration exitMargin = std::chrono::milliseconds(800);
+constexpr std::size_t ringCapacity = 1024;
+
+net::CallerSettings callerSettings(const char *name)
+{
+    net::CallerSettings settings;
+    settings.name = name;
+    settings.ringCapacity = ringCapacity;
+    return settings;
+}
+
+std::vector<std::string> otherSeeds(const Settings &settings)
+{
+    std::vector<std::string> seeds = settings.seeds;
+    std::erase(seeds, settings.peersAddress);
+    return seeds;
+}
+
+// A process has no disk, so the start time is what tells its lives apart.
+std::uint64_t makeIncarnation()
+{
+    return static_cast<std::uint64_t>(runtime::wallNow().time_since_epoch().count());
+}
+
+} // namespace
+
+struct Daemon::Implementation
+{
+    explicit Implementation(Settings settings) : settings(std::move(settings)) { }
+
+    // Sources of events stop before the duties that take them, parts after the duties use them.
+    ~Implementation()
+    {
+        Parts &parts = this->parts;
+        if (parts.timer)
+            parts.timer->stop();
+        parts.fleet.stop();
+        parts.calls.stop();
+        parts.batches.stop();
+        parts.callers.reset();
+        parts.readiness.reset();
+        parts.metricsDoor.reset();
+        parts.peers.reset();
+        parts.targets.reset();
+        parts.engines.reset();
+        parts.storeCaller.reset();
+    }
+
+    core::Result<void> start()
+    {
+        Parts &parts = this->parts;
+        const core::Node self{{this->settings.node},
+                              this->settings.peersAddress,
+                              this->settings.dataCentre,
+                              makeIncarnation()};
+        parts.timer = std::make_unique<runtime::TimerService>(self.incarnation);
+        BOOST_OUTCOME_TRY(this->openCallers());
+        BOOST_OUTCOME_TRY(this->openDoors());
+        startCalls(parts, std::hash<std::string>{}(self.id.value) ^ self.incarnation);
+        startBatches(parts, self);
+        startFleet(parts, self, this->settings);
+        parts.logger.write(
+                "started", field("node", self.id.value), field("incarnation", self.incarnation),
+                field("callers", this->settings.callersAddress), field("peers", self.address),
+                field("store", this->settings.storeAddress));
+        return boost::outcome_v2::success();
+    }
+
+    core::Result<void> openCallers()
+    {
+        Parts &parts = this->parts;
+        BOOST_OUTCOME_TRY(targets, net::HttpCaller::create(callerSettings("targets")));
+        parts.targets = std::move(targets);
+        BOOST_OUTCOME_TRY(engines, net::HttpCaller::create(callerSettings("engines")));
+        parts.engines = std::move(engines);
+        BOOST_OUTCOME_TRY(store, net::HttpCaller::create(callerSettings("store")));
+        parts.storeCaller = std::move(store);
+        net::PeerSettings peerSettings;
+        peerSettings.address = this->settings.peersAddress;
+        peerSettings.ringCapacity = ringCapacity;
+        BOOST_OUTCOME_TRY(peers,
+                          net::PeerLink::create(peerSettings, [&parts](net::PeerMessage &&message) {
+                              parts.store->relay(message);
+                              return true;
+                          }));
+        parts.peers = std::move(peers);
+        parts.store = std::make_unique<StoreLink>(
+                StoreLinkParts{*parts.storeCaller, *parts.peers, parts.logger, parts.metrics},
+                this->settings.storeAddress, otherSeeds(this->settings));
+        return boost::outcome_v2::success();
+    }
+
+    core::Result<void> openDoors()
+    {
+        Parts &parts = this->parts;
+        net::DoorSettings callerDoor;
+        callerDoor.name = "callers";
+        callerDoor.address = this->settings.callersAddress;
+        callerDoor.maxBufferedBytes = maxBufferedBytes;
+        BOOST_OUTCOME_TRY(callers, net::HttpDoor::create(
+                                           callerDoor,
+                                           [&parts](net::DoorRequest &&request) {
+                                               return routeClient(parts, std::move(request));
+                                           },
+                                           [&parts](core::ReplyToken token) {
+                                               noteClientLeft(parts, token);
+                                           }));
+        parts.callers = std::move(callers);
+        BOOST_OUTCOME_TRY(
+                readiness,
+                this->openSmallDoor("readiness", this->settings.readinessAddress, routeReadiness));
+        parts.readiness = std::move(readiness);
+        if (this->settings.metricsAddress.empty())
+            return boost::outcome_v2::success();
+        BOOST_OUTCOME_TRY(metrics, this->openSmallDoor("metrics", this->settings.metricsAddress,
+                                                       routeMetrics));
+        parts.metricsDoor = std::move(metrics);
+        return boost::outcome_v2::success();
+    }
+
+    core::Result<std::unique_ptr<net::HttpDoor>>
+    openSmallDoor(const char *name, const std::string &address,
+                  bool (*route)(Parts &, const net::DoorRequest &))
+    {
+        constexpr std::size_t fewConnections = 32;
+        net::DoorSettings door;
+        door.name = name;
+        door.address = address;
+        door.maxConnections = fewConnections;
+        return net::HttpDoor::create(door, [this, route](net::DoorRequest &&request) {
+            return route(this->parts, request);
+        });
+    }
+
+    Settings settings;
+    Parts parts;
+};
+
+Daemon::Daemon(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{
+}
+
+Daemon::~Daemon() = default;
+
+core::Result<std::unique_ptr<Daemon>> Daemon::create(const Settings &settings)
+{
+    auto implementation = std::make_unique<Implementation>(settings);
+    const core::Result<void> started = implementation->start();
+    if (!started)
+        return started.error();
+    return std::unique_ptr<Daemon>(new Daemon(std::move(implementation)));
+}
+
+void Daemon::reload(const Settings &settings)
+{
+    Parts &parts = this->implementation->parts;
+    Settings &known = this->implementation->settings;
+    known.seeds = settings.seeds;
+    known.stopLimit = settings.stopLimit;
+    parts.store->setSeeds(otherSeeds(known));
+    parts.logger.write("settings_reloaded", field("seeds", known.seeds.size()),
+                       field("stop_limit_ms", known.stopLimit.count() / 1000),
+                       field("unchanged", known == settings));
+}
+
+bool Daemon::drain()
+{
+    Parts &parts = this->implementation->parts;
+    const core::Time start = runtime::now();
+    const core::Time end = start + this->implementation->settings.stopLimit - exitMargin;
+    parts.draining = true;
+    parts.logger.write("draining");
+    parts.callers->closeAfterAnswers();
+    parts.fleet.inbox().push(core::FleetDraining{});
+    parts.batches.inbox().push(core::BatchDraining{});
+    const bool handedOver = parts.batchesDrained.waitFor(end - runtime::now());
+    // New connections come until the balancer has noticed.
+    runtime::Latch never;
+    never.waitFor(std::max(core::Duration{}, start + balancerDelay - runtime::now()));
+    const bool written =
+            parts.callers->waitUntilWritten(std::max(core::Duration{}, end - runtime::now()));
+    parts.logger.write("drained", field("handed_over", handedOver), field("written", written));
+    return handedOver && written;
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/range_reader.cpp
@@ -0,0 +1,63 @@
+#include "range_reader.hpp"
+
+#include <iterator>
+#include <memory>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+constexpr std::uint32_t statusOk = 200;
+
+using Done = std::function<void(std::optional<platform::Rows> &&)>;
+
+struct RangeReader : std::enable_shared_from_this<RangeReader>
+{
+    RangeReader(StoreLink &store, platform::RowRange range, Done done)
+        : store(store), range(std::move(range)), done(std::move(done))
+    {
+    }
+
+    void readNext()
+    {
+        this->store.send(
+                {platform::encodeRead(this->range), readLimit,
+                 [self = this->shared_from_this()](StoreReply &&reply) { self->onReply(reply); }});
+    }
+
+    void onReply(const StoreReply &reply)
+    {
+        if (reply.outcome != codec::RelayOutcome::Answered || reply.status != statusOk)
+            return this->done(std::nullopt);
+        auto rows = platform::decodeRows(reply.body);
+        if (!rows)
+            return this->done(std::nullopt);
+        platform::Rows &page = rows.value();
+        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(this->found.rows));
+        // What the first answer says is true of all rows: later changes come with the feed.
+        if (std::exchange(this->isFirst, false)) {
+            this->found.upTo = page.upTo;
+            this->found.clock = page.clock;
+        }
+        if (!page.truncated || this->range.limit || this->found.rows.empty())
+            return this->done(std::move(this->found));
+        // No key of any table continues another one with a blank, so this is the next possible key.
+        this->range.from = this->found.rows.back().name.key + ' ';
+        this->readNext();
+    }
+
+    StoreLink &store;
+    platform::RowRange range;
+    Done done;
+    platform::Rows found;
+    bool isFirst = true;
+};
+
+} // namespace
+
+void readRange(StoreLink &store, platform::RowRange range, Done done)
+{
+    std::make_shared<RangeReader>(store, std::move(range), std::move(done))->readNext();
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/routes.cpp
@@ -0,0 +1,110 @@
+#include "routes.hpp"
+
+#include "batch_store.hpp"
+
+#include <geraniumpulley/platform/client_messages.hpp>
+
+#include <fmt/format.h>
+
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+using runtime::field;
+
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusNotFound = 404;
+constexpr std::uint32_t statusTooLarge = 413;
+constexpr std::uint32_t statusUnavailable = 503;
+
+bool answerStatus(net::HttpDoor &door, core::ReplyToken token, std::uint32_t status,
+                  std::string body = {})
+{
+    net::DoorAnswer answer;
+    answer.token = token;
+    answer.status = status;
+    answer.contentType = "text/plain";
+    answer.body = std::move(body);
+    door.answer(std::move(answer));
+    return true;
+}
+
+bool answerBad(Parts &parts, core::ReplyToken token, const std::string &problem)
+{
+    parts.logger.write("request_malformed", field("problem", problem));
+    parts.callers->answer(platform::encodeBadRequest(token, problem));
+    return true;
+}
+
+bool routeBatchRequest(Parts &parts, const net::DoorRequest &request)
+{
+    auto decoded = platform::decodeBatchRequest(request);
+    if (!decoded)
+        return answerBad(parts, request.token, decoded.error().message());
+    return std::visit([&](auto &event) { return parts.batches.inbox().tryPush(std::move(event)); },
+                      decoded.value());
+}
+
+bool routeSubmission(Parts &parts, net::DoorRequest &&request)
+{
+    const core::ReplyToken token = request.token;
+    if (request.body.size() > maxSubmittedBytes) {
+        parts.logger.write("batch_too_large", field("bytes", request.body.size()),
+                           field("most", maxSubmittedBytes));
+        return answerStatus(*parts.callers, token, statusTooLarge);
+    }
+    auto order = platform::decodeSubmission(std::move(request));
+    if (!order)
+        return answerBad(parts, token, order.error().message());
+    return parts.batches.inbox().tryPush(core::SubmitAsked{token, std::move(order.value())});
+}
+
+} // namespace
+
+bool routeClient(Parts &parts, net::DoorRequest &&request)
+{
+    if (platform::isBatchRequest(request))
+        return routeBatchRequest(parts, request);
+    const core::DirectoryPointer directory = parts.directory.get();
+    const core::Route *route = nullptr;
+    if (directory && directory->routing)
+        route = core::findRoute(*directory->routing, platform::hostOf(request), request.target);
+    const bool isSubmission = route != nullptr && route->kind == core::RouteKind::Batch;
+    if (isSubmission && request.method == "POST")
+        return routeSubmission(parts, std::move(request));
+    const core::ReplyToken token = request.token;
+    return parts.calls.inbox().tryPush(
+            core::CallArrived{token, platform::decodeCall(std::move(request))});
+}
+
+void noteClientLeft(Parts &parts, core::ReplyToken token)
+{
+    // With a full ring the request goes on until its deadline.
+    const bool told = parts.calls.inbox().tryPush(core::CallerLeft{token})
+                      && parts.batches.inbox().tryPush(core::AskerLeft{token});
+    if (!told)
+        parts.metrics.count("departures_dropped");
+}
+
+bool routeReadiness(Parts &parts, const net::DoorRequest &request)
+{
+    if (!platform::isReadinessQuestion(request))
+        return answerStatus(*parts.readiness, request.token, statusNotFound);
+    const core::DirectoryPointer directory = parts.directory.get();
+    const bool isReady = !parts.draining && directory && directory->routing;
+    return answerStatus(*parts.readiness, request.token, isReady ? statusOk : statusUnavailable);
+}
+
+bool routeMetrics(Parts &parts, const net::DoorRequest &request)
+{
+    std::string text = parts.metrics.render();
+    text += fmt::format("log_lines_dropped {}\n", parts.logger.droppedLines());
+    text += fmt::format("target_connections_opened {}\n", parts.targets->connectionsOpened());
+    text += fmt::format("engine_connections_opened {}\n", parts.engines->connectionsOpened());
+    text += fmt::format("peer_bytes {}\n", parts.peers->traffic());
+    return answerStatus(*parts.metricsDoor, request.token, statusOk, std::move(text));
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/store_link.cpp
@@ -0,0 +1,168 @@
+#include "store_link.hpp"
+
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+using runtime::field;
+
+constexpr const char *relayPath = "/store";
+constexpr core::Duration connectLimit = std::chrono::milliseconds(400);
+// A relayed call is cut short at its relay, so that the reply still comes in time.
+constexpr core::Duration relayMargin = std::chrono::milliseconds(30);
+
+StoreReply toReply(net::HttpResult &&result)
+{
+    switch (result.failure) {
+    case net::SendFailure::None:
+        return {codec::RelayOutcome::Answered, result.status, std::move(result.body)};
+    case net::SendFailure::NotSent:
+        return {codec::RelayOutcome::NotSent, 0, {}};
+    case net::SendFailure::Lost:
+        break;
+    }
+    return {codec::RelayOutcome::Lost, 0, {}};
+}
+
+bool isServed(const StoreReply &reply)
+{
+    return reply.outcome == codec::RelayOutcome::Answered && !platform::isRefusal(reply.status);
+}
+
+} // namespace
+
+StoreLink::StoreLink(StoreLinkParts parts, std::string address, std::vector<std::string> seeds)
+    : parts(parts), address(std::move(address)), seeds(std::move(seeds))
+{
+}
+
+void StoreLink::send(StoreRequest &&request)
+{
+    core::StoreRoute route{};
+    {
+        const std::lock_guard lock(this->mutex);
+        route = core::chooseStoreRoute(this->path, runtime::now());
+    }
+    std::string peer = route == core::StoreRoute::Relay ? this->nextPeer() : std::string();
+    if (peer.empty())
+        this->sendDirect(std::move(request), true);
+    else
+        this->sendRelayed(std::move(request), std::move(peer));
+}
+
+void StoreLink::sendDirect(StoreRequest &&request, bool mayRelay)
+{
+    const auto pending = std::make_shared<StoreRequest>(std::move(request));
+    this->callStore(pending->call, pending->limit, [this, pending, mayRelay](StoreReply &&reply) {
+        this->noteDirect(isServed(reply));
+        const bool isUndone = !isServed(reply) && reply.outcome != codec::RelayOutcome::Lost;
+        std::string peer = isUndone && mayRelay ? this->nextPeer() : std::string();
+        if (peer.empty())
+            pending->done(std::move(reply));
+        else
+            this->sendRelayed(std::move(*pending), std::move(peer));
+    });
+}
+
+void StoreLink::sendRelayed(StoreRequest &&request, std::string peer)
+{
+    const codec::RelayedCall call{std::move(request.call.method), std::move(request.call.target),
+                                  std::move(request.call.body), request.limit - relayMargin};
+    this->parts.metrics.count("store_calls_relayed");
+    this->parts.peers.send({std::move(peer), relayPath, codec::encodeRelay(call),
+                            runtime::now() + request.limit,
+                            [this, done = std::move(request.done)](net::PeerReply &&peerReply) {
+                                StoreReply reply;
+                                if (peerReply.failure == net::SendFailure::NotSent)
+                                    reply.outcome = codec::RelayOutcome::NotSent;
+                                if (peerReply.failure == net::SendFailure::None) {
+                                    auto decoded = codec::decodeRelayedReply(peerReply.body);
+                                    if (decoded)
+                                        reply = std::move(decoded.value());
+                                }
+                                this->noteRelayed(isServed(reply));
+                                done(std::move(reply));
+                            }});
+}
+
+void StoreLink::callStore(const platform::StoreCall &call, core::Duration limit, Done done)
+{
+    net::HttpRequest request;
+    request.address = this->address;
+    request.method = call.method;
+    request.target = call.target;
+    request.body = call.body;
+    if (!call.body.empty())
+        request.contentType = "application/json";
+    request.deadline = runtime::now() + limit;
+    request.connectLimit = connectLimit;
+    request.reuse = true;
+    request.done = [this, done = std::move(done),
+                    sentAt = runtime::now()](net::HttpResult &&result) {
+        this->parts.metrics.observe("store_call", runtime::now() - sentAt);
+        done(toReply(std::move(result)));
+    };
+    this->parts.caller.send(std::move(request));
+}
+
+void StoreLink::relay(const net::PeerMessage &message)
+{
+    const auto call = codec::decodeRelayedCall(message.body);
+    if (!call) {
+        this->parts.logger.write("relay_message_unreadable",
+                                 field("error", call.error().message()));
+        return this->parts.peers.reply(message.token, codec::encodeRelay(StoreReply{}));
+    }
+    this->callStore({call.value().method, call.value().target, call.value().body},
+                    call.value().timeLeft, [this, token = message.token](StoreReply &&reply) {
+                        this->parts.peers.reply(token, codec::encodeRelay(reply));
+                    });
+}
+
+void StoreLink::setPeers(std::vector<std::string> addresses)
+{
+    const std::lock_guard lock(this->mutex);
+    this->nodes = std::move(addresses);
+}
+
+void StoreLink::setSeeds(std::vector<std::string> addresses)
+{
+    const std::lock_guard lock(this->mutex);
+    this->seeds = std::move(addresses);
+}
+
+std::string StoreLink::nextPeer()
+{
+    const std::lock_guard lock(this->mutex);
+    const std::vector<std::string> &addresses = this->nodes.empty() ? this->seeds : this->nodes;
+    if (addresses.empty())
+        return {};
+    return addresses[this->turn++ % addresses.size()];
+}
+
+void StoreLink::noteDirect(bool served)
+{
+    bool changed = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        core::noteDirectCall(this->path, served, runtime::now());
+        changed = std::exchange(this->reachable, served) != served;
+    }
+    if (!served)
+        this->parts.metrics.count("store_calls_failed");
+    if (changed)
+        this->parts.logger.write(served ? "store_regained" : "store_lost",
+                                 field("address", this->address));
+}
+
+void StoreLink::noteRelayed(bool served)
+{
+    const std::lock_guard lock(this->mutex);
+    core::noteRelayedCall(this->path, served, runtime::now());
+}
+
+} // namespace geraniumpulley::entry
--- /dev/null
+++ b/packages/entry/src/stored_batch.cpp
@@ -0,0 +1,80 @@
+#include "stored_batch.hpp"
+
+#include "table_names.hpp"
+
+#include <geraniumpulley/codec/batch_rows.hpp>
+#include <geraniumpulley/platform/client_messages.hpp>
+#include <geraniumpulley/platform/error.hpp>
+
+#include <boost/outcome/try.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace geraniumpulley::entry {
+namespace {
+
+// Values of rows whose keys begin with a prefix, joined from their pieces, by number.
+using Values = std::map<std::string, std::string>;
+
+Values joinChunks(const std::vector<platform::Row> &rows, std::string_view prefix)
+{
+    Values values;
+    for (const platform::Row &row : rows) {
+        const std::string &key = row.name.key;
+        if (key.starts_with(prefix))
+            values[key.substr(0, key.rfind('/'))] += row.value;
+    }
+    return values;
+}
+
+core::Result<core::BatchOrder> assembleOrder(const core::BatchId &id,
+                                             const std::vector<platform::Row> &rows)
+{
+    const Values values = joinChunks(rows, orderPrefix);
+    if (values.size() != 1)
+        return make_error_code(platform::Errc::WrongShape);
+    BOOST_OUTCOME_TRY(submitted, codec::decodeSubmitted(values.begin()->second));
+    return platform::decodeOrder(id, submitted.host, submitted.path, std::move(submitted.body));
+}
+
+} // namespace
+
+core::Result<std::vector<core::ItemResult>> assembleResults(const std::vector<platform::Row> &rows)
+{
+    std::vector<core::ItemResult> results;
+    for (const auto &[key, value] : joinChunks(rows, resultPrefix)) {
+        BOOST_OUTCOME_TRY(result, codec::decodeResult(value));
+        results.push_back(std::move(result));
+    }
+    return results;
+}
+
+core::Result<core::StoredBatch> assembleBatch(const core::BatchId &id,
+                                              const std::vector<platform::Row> &rows)
+{
+    core::StoredBatch stored;
+    bool hasHead = false;
+    for (const platform::Row &row : rows) {
+        if (row.name.key != ownerKey)
+            continue;
+        BOOST_OUTCOME_TRY(head, codec::decodeHead(id, row.value, row.version));
+        stored.head = std::move(head);
+        hasHead = true;
+    }
+    if (!hasHead)
+        return make_error_code(platform::Errc::WrongShape);
+    BOOST_OUTCOME_TRY(order, assembleOrder(id, rows));
+    stored.order = std::move(order);
+    BOOST_OUTCOME_TRY(results, assembleResults(rows));
+    stored.results = std::move(results);
+    for (const auto &[key, value] : joinChunks(rows, partialPrefix)) {
+        BOOST_OUTCOME_TRY(partial, codec::decodePartial(value));
+        stored.partials.push_back(std::move(partial));
+    }
+    return stored;
+}
+
+} // namespace geraniumpulley::entry
--- a/packages/net/include/geraniumpulley/net/http_door.hpp
+++ b/packages/net/include/geraniumpulley/net/http_door.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/result.hpp>
 #include <geraniumpulley/core/time.hpp>
@@ -13,11 +14,7 @@
 
 namespace geraniumpulley::net {
 
-struct HttpHeader
-{
-    std::string name;
-    std::string value;
-};
+using core::HttpHeader;
 
 /// \return the value of the first header of that name, in any case of letters, or "".
 std::string findHeader(const std::vector<HttpHeader> &headers, const std::string &name);
@@ -43,7 +40,7 @@
 {
     core::ReplyToken token{};
     std::uint32_t status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; ///< Left out when empty.
     std::vector<HttpHeader> headers;
     std::string body;
     bool drop = false; ///< Closes the connection without an answer, or within one.
@@ -58,8 +55,18 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 1024 * 1024;
     std::size_t maxBufferedBytes = 32 * 1024 * 1024; ///< Bodies of all connections together.
-    core::Duration readTimeout = std::chrono::seconds(10);
+    core::Duration readTimeout = std::chrono::seconds(10); ///< For headers, and between body bytes.
     core::Duration writeTimeout = std::chrono::seconds(10);
+    core::Duration idleTimeout = std::chrono::seconds(10); ///< Of a connection without a request.
+};
+
+/// What a door allows its clients; may change while it is open.
+struct DoorLimits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 1024 * 1024;
+    core::Duration headerTimeout = std::chrono::seconds(10);
+    core::Duration idleTimeout = std::chrono::seconds(10);
 };
 
 /// An HTTP/1.1 server on a thread of its own, with limits on connections, headers, bodies and
@@ -73,10 +80,12 @@
     /// Runs on the door's thread and must not block.
     /// \return false when the request cannot be taken; the door then answers 503 `not_run`.
     using RequestHandler = std::function<bool(DoorRequest &&)>;
+    /// Told on the door's thread that a client left before its answer; must not block.
+    using GoneHandler = std::function<void(core::ReplyToken)>;
 
     /// \return the listening door, or `Errc::BadAddress`, `Errc::ListenFailed`.
-    static core::Result<std::unique_ptr<HttpDoor>> create(const DoorSettings &settings,
-                                                          RequestHandler handler);
+    static core::Result<std::unique_ptr<HttpDoor>>
+    create(const DoorSettings &settings, RequestHandler handler, GoneHandler goneHandler = {});
     ~HttpDoor();
 
     HttpDoor(const HttpDoor &) = delete;
@@ -89,6 +98,12 @@
     /// has room for every request that was taken. An unknown token is ignored.
     void answer(DoorAnswer &&answer);
 
+    /// Changes the limits for requests that come from now on; from any thread.
+    void setLimits(const DoorLimits &limits);
+
+    /// Ends each connection after its next answer from now on; from any thread.
+    void closeAfterAnswers();
+
     /// Waits until no request that was taken is without its written answer.
     /// \return false when that lasts longer than `limit`.
     bool waitUntilWritten(core::Duration limit);
--- /dev/null
+++ b/packages/net/src/connection_pool.cpp
@@ -0,0 +1,83 @@
+#include "connection_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpulley::net {
+namespace {
+
+// Idle connections to one address; more are closed.
+constexpr std::size_t maxIdleOfAddress = 64;
+
+void close(Connection &connection)
+{
+    boost::system::error_code ignored;
+    connection.stream.socket().close(ignored);
+}
+
+} // namespace
+
+std::shared_ptr<Connection> ConnectionPool::take(const std::string &address, core::Time now)
+{
+    const auto position = this->idle.find(address);
+    if (position == this->idle.end())
+        return nullptr;
+    auto &connections = position->second;
+    while (!connections.empty()) {
+        // The last one used is the least likely to have been closed.
+        std::shared_ptr<Connection> connection = std::move(connections.back());
+        connections.pop_back();
+        ++connection->uses;
+        boost::system::error_code ignored;
+        connection->stream.socket().cancel(ignored);
+        if (connection->idleUntil > now)
+            return connection;
+        close(*connection);
+    }
+    return nullptr;
+}
+
+void ConnectionPool::keep(const std::string &address, std::shared_ptr<Connection> connection)
+{
+    auto &connections = this->idle[address];
+    connection->stream.expires_never();
+    if (connections.size() >= maxIdleOfAddress) {
+        close(*connections.front());
+        connections.erase(connections.begin());
+    }
+    connections.push_back(connection);
+    this->watch(address, connection);
+}
+
+void ConnectionPool::clear()
+{
+    for (auto &[address, connections] : this->idle) {
+        for (const auto &connection : connections)
+            close(*connection);
+    }
+    this->idle.clear();
+}
+
+void ConnectionPool::watch(const std::string &address,
+                           const std::shared_ptr<Connection> &connection)
+{
+    connection->stream.socket().async_wait(
+            boost::asio::ip::tcp::socket::wait_read,
+            [this, address, connection,
+             uses = connection->uses](const boost::system::error_code &error) {
+                if (error == boost::asio::error::operation_aborted || connection->uses != uses)
+                    return;
+                this->remove(address, connection);
+            });
+}
+
+void ConnectionPool::remove(const std::string &address,
+                            const std::shared_ptr<Connection> &connection)
+{
+    close(*connection);
+    const auto position = this->idle.find(address);
+    if (position != this->idle.end())
+        std::erase(position->second, connection);
+}
+
+} // namespace geraniumpulley::net
--- a/packages/net/src/http_door.cpp
+++ b/packages/net/src/http_door.cpp
@@ -7,11 +7,13 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <deque>
 #include <map>
 #include <optional>
 #include <sstream>
 #include <utility>
+#include <variant>
 
 namespace geraniumpulley::net {
 namespace {
@@ -24,6 +26,11 @@
 // A reader slower than its answer by this many parts is cut off, which bounds memory.
 constexpr std::size_t maxWaitingParts = 1024;
 
+// Of the first read of a request; header and body follow in the same buffer.
+constexpr std::size_t firstReadBytes = 4096;
+
+using Order = std::variant<DoorAnswer, DoorLimits>;
+
 constexpr const char *requestIdHeader = "X-Request-Id";
 constexpr const char *queueFullBody = R"({"outcome":"not_run","reason":"queue_full"})";
 
@@ -41,15 +48,16 @@
 {
     class Session;
 
-    Implementation(const DoorSettings &settings, RequestHandler handler)
-        : settings(settings), handler(std::move(handler)), loop(settings.maxConnections),
-          acceptor(loop.context())
+    Implementation(const DoorSettings &settings, RequestHandler handler, GoneHandler goneHandler)
+        : settings(settings), handler(std::move(handler)), goneHandler(std::move(goneHandler)),
+          loop(settings.maxConnections), acceptor(loop.context())
     {
     }
 
     ~Implementation() { this->loop.stop(); }
 
     void accept();
+    void take(Order &&order);
     void answer(DoorAnswer &&answer);
 
     // A request was taken, or its answer was written or given up.
@@ -64,12 +72,14 @@
 
     DoorSettings settings;
     RequestHandler handler;
+    GoneHandler goneHandler;
+    std::atomic<bool> closesAfterAnswers = false;
     std::mutex mutex;
     std::condition_variable settled;
     int owedAnswers = 0; // Guarded by the mutex.
     std::size_t connections = 0; // Used on the loop's thread, as all below.
     std::size_t bufferedBytes = 0; // Of bodies that are read or not yet answered.
-    detail::EventLoop<DoorAnswer> loop;
+    detail::EventLoop<Order> loop;
     Tcp::acceptor acceptor;
     core::ReplyToken nextToken{1};
     std::map<core::ReplyToken, std::shared_ptr<Session>> waiting;
@@ -96,14 +106,16 @@
 
     void read()
     {
-        this->parser.emplace();
-        this->parser->header_limit(static_cast<std::uint32_t>(this->door.settings.maxHeaderBytes));
-        this->parser->body_limit(this->door.settings.maxBodyBytes);
-        this->stream.expires_after(this->door.settings.readTimeout);
-        http::async_read_header(
-                this->stream, this->buffer, *this->parser,
-                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                    self->onHeader(error);
+        if (this->buffer.size() > 0)
+            return this->readHeader();
+        this->stream.expires_after(this->door.settings.idleTimeout);
+        this->stream.async_read_some(
+                this->buffer.prepare(firstReadBytes),
+                [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+                    if (error)
+                        return self->close();
+                    self->buffer.commit(size);
+                    self->readHeader();
                 });
     }
 
@@ -114,12 +126,14 @@
         this->response = {};
         this->response.version(11);
         this->response.result(answer.status);
-        this->response.set(http::field::content_type, answer.contentType);
+        if (!answer.contentType.empty())
+            this->response.set(http::field::content_type, answer.contentType);
         for (const HttpHeader &header : answer.headers)
-            this->response.set(header.name, header.value);
+            this->response.insert(header.name, header.value);
         if (!this->requestId.empty())
             this->response.set(requestIdHeader, this->requestId);
         this->response.body() = std::move(answer.body);
+        this->keepAlive = this->keepAlive && !this->door.closesAfterAnswers;
         this->response.keep_alive(this->keepAlive);
         this->response.prepare_payload();
         this->stream.expires_after(this->door.settings.writeTimeout);
@@ -139,6 +153,19 @@
     }
 
 private:
+    void readHeader()
+    {
+        this->parser.emplace();
+        this->parser->header_limit(static_cast<std::uint32_t>(this->door.settings.maxHeaderBytes));
+        this->parser->body_limit(this->door.settings.maxBodyBytes);
+        this->stream.expires_after(this->door.settings.readTimeout);
+        http::async_read_header(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    self->onHeader(error);
+                });
+    }
+
     void writeNextPart()
     {
         DoorAnswer &part = this->parts.front();
@@ -162,14 +189,16 @@
                           });
     }
 
-    std::string encodeHeader(const DoorAnswer &part) const
+    std::string encodeHeader(const DoorAnswer &part)
     {
+        this->keepAlive = this->keepAlive && !this->door.closesAfterAnswers;
         http::response<http::empty_body> header;
         header.version(11);
         header.result(part.status);
-        header.set(http::field::content_type, part.contentType);
+        if (!part.contentType.empty())
+            header.set(http::field::content_type, part.contentType);
         for (const HttpHeader &field : part.headers)
-            header.set(field.name, field.value);
+            header.insert(field.name, field.value);
         if (!this->requestId.empty())
             header.set(requestIdHeader, this->requestId);
         header.keep_alive(this->keepAlive);
@@ -192,27 +221,34 @@
             this->writeNextPart();
     }
 
-    // The whole door's bodies are bounded, so a body is only read when there is room for it.
     void onHeader(beast::error_code error)
     {
         this->requestId.clear();
         if (error)
             return this->onRead(error);
         this->requestId = std::string(this->parser->get()[requestIdHeader]);
-        const std::size_t bytes =
-                this->parser->chunked()
-                        ? this->door.settings.maxBodyBytes
-                        : static_cast<std::size_t>(this->parser->content_length().value_or(0));
-        if (bytes > this->door.settings.maxBodyBytes)
+        if (this->parser->content_length().value_or(0) > this->door.settings.maxBodyBytes)
             return this->refuse(413, "body_too_large");
-        if (this->door.bufferedBytes + bytes > this->door.settings.maxBufferedBytes)
+        this->readBody();
+    }
+
+    // The bodies of the whole door are bounded by what has been read of them.
+    void readBody()
+    {
+        const std::size_t bytes = this->parser->get().body().size();
+        this->door.bufferedBytes += bytes - this->bufferedBytes;
+        this->bufferedBytes = bytes;
+        if (this->door.bufferedBytes > this->door.settings.maxBufferedBytes)
             return this->refuse(503, "queue_full");
-        this->reservedBytes = bytes;
-        this->door.bufferedBytes += bytes;
-        http::async_read(
+        if (this->parser->is_done())
+            return this->onRead({});
+        this->stream.expires_after(this->door.settings.readTimeout);
+        http::async_read_some(
                 this->stream, this->buffer, *this->parser,
-                [self = this->shared_from_this()](beast::error_code readError, std::size_t) {
-                    self->onRead(readError);
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    if (error)
+                        return self->onRead(error);
+                    self->readBody();
                 });
     }
 
@@ -232,6 +268,36 @@
         this->take();
     }
 
+    // Notices that the client leaves while its request is being served.
+    void watch(core::ReplyToken token)
+    {
+        this->stream.socket().async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(),
+                                                                  token](beast::error_code error) {
+            if (error || !self->owesAnswer || self->servedToken != token)
+                return;
+            if (self->hasClientLeft())
+                self->leave(token);
+        });
+    }
+
+    bool hasClientLeft()
+    {
+        char byte = 0;
+        beast::error_code error;
+        this->stream.socket().non_blocking(true, error);
+        const std::size_t size = this->stream.socket().receive(
+                asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return (error && error != asio::error::would_block) || (!error && size == 0);
+    }
+
+    void leave(core::ReplyToken token)
+    {
+        this->door.waiting.erase(token);
+        this->settle();
+        this->close();
+        this->door.goneHandler(token);
+    }
+
     void take()
     {
         const auto &message = this->parser->get();
@@ -248,11 +314,15 @@
         this->parser.reset();
         this->stream.expires_never();
         const core::ReplyToken token = request.token;
+        this->servedToken = token;
         this->door.waiting.emplace(token, this->shared_from_this());
         this->owesAnswer = true;
         this->door.noteOwed(true);
-        if (this->door.handler(std::move(request)))
+        if (this->door.handler(std::move(request))) {
+            if (this->door.goneHandler)
+                this->watch(token);
             return;
+        }
         this->door.waiting.erase(token);
         this->write({token, 503, "application/json", {}, queueFullBody, false});
     }
@@ -272,7 +342,7 @@
 
     void settle()
     {
-        this->door.bufferedBytes -= std::exchange(this->reservedBytes, 0);
+        this->door.bufferedBytes -= std::exchange(this->bufferedBytes, 0);
         if (std::exchange(this->owesAnswer, false))
             this->door.noteOwed(false);
     }
@@ -300,7 +370,8 @@
     std::deque<DoorAnswer> parts; // Of an answer in chunks; the first one is being written.
     std::string chunk;
     std::string requestId; // Echoed, so that the caller can match the answer.
-    std::size_t reservedBytes = 0;
+    std::size_t bufferedBytes = 0;
+    core::ReplyToken servedToken{};
     bool owesAnswer = false;
     bool keepAlive = false;
 };
@@ -317,6 +388,18 @@
     });
 }
 
+void HttpDoor::Implementation::take(Order &&order)
+{
+    if (const auto *limits = std::get_if<DoorLimits>(&order)) {
+        this->settings.maxHeaderBytes = limits->maxHeaderBytes;
+        this->settings.maxBodyBytes = limits->maxBodyBytes;
+        this->settings.readTimeout = limits->headerTimeout;
+        this->settings.idleTimeout = limits->idleTimeout;
+        return;
+    }
+    this->answer(std::get<DoorAnswer>(std::move(order)));
+}
+
 void HttpDoor::Implementation::answer(DoorAnswer &&answer)
 {
     const auto position = this->waiting.find(answer.token);
@@ -339,17 +422,17 @@
 
 HttpDoor::~HttpDoor() = default;
 
-core::Result<std::unique_ptr<HttpDoor>> HttpDoor::create(const DoorSettings &settings,
-                                                         RequestHandler handler)
+core::Result<std::unique_ptr<HttpDoor>>
+HttpDoor::create(const DoorSettings &settings, RequestHandler handler, GoneHandler goneHandler)
 {
-    auto implementation = std::make_unique<Implementation>(settings, std::move(handler));
+    auto implementation =
+            std::make_unique<Implementation>(settings, std::move(handler), std::move(goneHandler));
     const core::Result<void> listening = detail::listen(implementation->acceptor, settings.address);
     if (!listening)
         return listening.error();
     Implementation &door = *implementation;
     door.accept();
-    door.loop.start(settings.name,
-                    [&door](DoorAnswer &&answer) { door.answer(std::move(answer)); });
+    door.loop.start(settings.name, [&door](Order &&order) { door.take(std::move(order)); });
     return std::unique_ptr<HttpDoor>(new HttpDoor(std::move(implementation)));
 }
 
@@ -363,6 +446,16 @@
     this->implementation->loop.inbox().push(std::move(answer));
 }
 
+void HttpDoor::setLimits(const DoorLimits &limits)
+{
+    this->implementation->loop.inbox().push(limits);
+}
+
+void HttpDoor::closeAfterAnswers()
+{
+    this->implementation->closesAfterAnswers = true;
+}
+
 bool HttpDoor::waitUntilWritten(core::Duration limit)
 {
     Implementation &door = *this->implementation;
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,3 +1,5 @@
+#include <geraniumpulley/entry/daemon.hpp>
+#include <geraniumpulley/entry/settings.hpp>
 #include <geraniumpulley/node/daemon.hpp>
 #include <geraniumpulley/node/settings.hpp>
 #include <geraniumpulley/runtime/signals.hpp>
@@ -8,7 +10,10 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <string>
+#include <system_error>
+#include <vector>
 
 namespace {
 
@@ -17,36 +22,93 @@
 constexpr int exitUsage = 2;
 constexpr int exitInterrupted = 1;
 
-int run(const std::string &path)
+// Between two looks at the settings file, which may change without a signal.
+constexpr core::Duration settingsPeriod = std::chrono::seconds(2);
+
+std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file(path);
-    if (!file) {
-        fmt::print(stderr, "event=settings_unreadable path={}\n", path);
-        return exitUsage;
-    }
-    const std::string text{std::istreambuf_iterator<char>(file), {}};
-    const node::ParsedSettings parsed = node::parseSettings(text);
-    for (const core::ConfigurationProblem &problem : parsed.problems)
+    if (!file)
+        return std::nullopt;
+    return std::string{std::istreambuf_iterator<char>(file), {}};
+}
+
+bool reportProblems(const std::vector<core::ConfigurationProblem> &problems)
+{
+    for (const core::ConfigurationProblem &problem : problems)
         fmt::print(stderr, "event=settings_invalid key={} problem={:?} allowed={:?}\n",
                    problem.place, problem.problem, problem.allowed);
-    if (!parsed.problems.empty())
+    return !problems.empty();
+}
+
+int reportFailedStart(const std::error_code &error)
+{
+    fmt::print(stderr, "event=start_failed error={:?}\n", error.message());
+    return 1;
+}
+
+// Serves until a stop signal; follows changes of the settings file.
+void serve(entry::Daemon &daemon, const std::string &path, std::string text)
+{
+    while (true) {
+        const runtime::ProcessSignal signal = runtime::waitForSignal(settingsPeriod);
+        if (signal == runtime::ProcessSignal::Stop)
+            return;
+        const std::optional<std::string> current = readFile(path);
+        const bool isNew = current && *current != text;
+        if (!current || (!isNew && signal == runtime::ProcessSignal::None))
+            continue;
+        const entry::ParsedSettings parsed = entry::parseSettings(*current);
+        if (!reportProblems(parsed.problems))
+            daemon.reload(parsed.settings);
+        text = *current;
+    }
+}
+
+int runEntry(const std::string &path, const std::string &text)
+{
+    const entry::ParsedSettings parsed = entry::parseSettings(text);
+    if (reportProblems(parsed.problems))
+        return exitUsage;
+    const auto daemon = entry::Daemon::create(parsed.settings);
+    if (!daemon)
+        return reportFailedStart(daemon.error());
+    serve(*daemon.value(), path, text);
+    runtime::exitAtNextStopSignal(exitInterrupted);
+    daemon.value()->drain();
+    return 0;
+}
+
+int runNode(const std::string &text)
+{
+    const node::ParsedSettings parsed = node::parseSettings(text);
+    if (reportProblems(parsed.problems))
         return exitUsage;
     const auto daemon = node::Daemon::create(parsed.settings);
-    if (!daemon) {
-        fmt::print(stderr, "event=start_failed error={:?}\n", daemon.error().message());
-        return 1;
-    }
+    if (!daemon)
+        return reportFailedStart(daemon.error());
     runtime::waitForStopSignal();
     runtime::exitAtNextStopSignal(exitInterrupted);
     daemon.value()->drain();
     return 0;
 }
 
+int run(const std::string &path)
+{
+    const std::optional<std::string> text = readFile(path);
+    if (!text) {
+        fmt::print(stderr, "event=settings_unreadable path={}\n", path);
+        return exitUsage;
+    }
+    return entry::isForPlatform(*text) ? runEntry(path, *text) : runNode(*text);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     runtime::blockStopSignals();
+    runtime::blockReloadSignal();
     cxxopts::Options options("geraniumpulleyd", "Entry process of the rollout service.");
     options.add_options()("settings", "settings file (JSON)", cxxopts::value<std::string>(),
                           "FILE")("h,help", "show this text")("version", "show the version");
--- a/packages/runtime/include/geraniumpulley/runtime/clock.hpp
+++ b/packages/runtime/include/geraniumpulley/runtime/clock.hpp
@@ -10,4 +10,8 @@
 /// \return the wall-clock time (UTC).
 core::WallTime wallNow();
 
+/// \return how long this machine has been suspended since its start: the time that the boot clock
+/// counts and the monotonic one does not.
+core::Duration timeSuspended();
+
 } // namespace geraniumpulley::runtime
--- a/packages/runtime/include/geraniumpulley/runtime/log.hpp
+++ b/packages/runtime/include/geraniumpulley/runtime/log.hpp
@@ -25,10 +25,10 @@
     return {key, fmt::format("{}", value)};
 }
 
-/// Writes log lines to standard error on a thread of its own.
+/// Writes log lines to standard output on a thread of its own.
 ///
-/// When its ring is full a line is dropped and counted: a slow reader of the log must not hold up
-/// calls.
+/// When its ring is full, or too many lines come in a second, a line is dropped and counted: a slow
+/// reader of the log must not hold up calls, and load must not fill the log.
 class Logger
 {
 public:
@@ -54,8 +54,12 @@
     static std::string beginLine(std::string_view event);
     static void appendField(std::string &line, const LogField &field);
     void submit(std::string line);
+    void print(const std::string &line);
 
     std::atomic<std::uint64_t> dropped = 0;
+    core::Time windowStart{}; // Used on the writer's thread, as the next two.
+    std::uint64_t linesOfWindow = 0;
+    std::uint64_t droppedTold = 0;
     Duty<std::string> writer;
 };
 
--- a/packages/runtime/include/geraniumpulley/runtime/timer_service.hpp
+++ b/packages/runtime/include/geraniumpulley/runtime/timer_service.hpp
@@ -3,9 +3,11 @@
 #include <geraniumpulley/core/time.hpp>
 
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <thread>
 #include <vector>
@@ -31,6 +33,13 @@
     /// Calls back each `period`, give or take a tenth of it, until `stop`.
     void subscribe(core::Duration period, Callback callback);
 
+    /// Adds an alarm that is not armed yet. \return its number for `arm`.
+    std::size_t addAlarm(Callback callback);
+
+    /// Calls the alarm's callback once at `due`, instead of when it was armed for before. Wakes the
+    /// timer's thread only where `due` is the earliest of all.
+    void arm(std::size_t alarm, core::Time due);
+
     /// Ends the thread; no callback runs after it returns.
     void stop();
 
@@ -42,12 +51,22 @@
         Callback callback;
     };
 
+    struct Alarm
+    {
+        std::optional<core::Time> due;
+        Callback callback;
+    };
+
     void run();
+    std::optional<core::Time> earliest() const;
+    void fire(core::Time until);
     core::Duration jittered(core::Duration period);
 
     std::mutex mutex;
     std::condition_variable changed;
     std::vector<Subscription> subscriptions;
+    std::vector<Alarm> alarms;
+    std::optional<core::Time> sleepsUntil; // Nothing while nothing is due at all.
     std::mt19937_64 random;
     bool stopping = false;
     std::thread thread;
--- a/packages/runtime/src/clock.cpp
+++ b/packages/runtime/src/clock.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <ctime>
+
 namespace geraniumpulley::runtime {
 
 core::Time now()
@@ -12,4 +14,15 @@
     return std::chrono::time_point_cast<core::Duration>(std::chrono::system_clock::now());
 }
 
+core::Duration timeSuspended()
+{
+    const auto read = [](clockid_t clock) {
+        timespec time{};
+        clock_gettime(clock, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    };
+    const auto monotonic = read(CLOCK_MONOTONIC);
+    return std::chrono::duration_cast<core::Duration>(read(CLOCK_BOOTTIME) - monotonic);
+}
+
 } // namespace geraniumpulley::runtime
--- a/packages/runtime/src/log.cpp
+++ b/packages/runtime/src/log.cpp
@@ -10,11 +10,34 @@
 
 namespace {
 constexpr std::size_t ringCapacity = 4096;
-}
+// Lines written in one second; the rest of that second is dropped and counted.
+constexpr std::uint64_t maxLinesOfSecond = 1000;
+constexpr core::Duration rateWindow = std::chrono::seconds(1);
+} // namespace
 
 Logger::Logger() : writer(ringCapacity)
 {
-    this->writer.start("log", [](std::string &&line) { fmt::print(stderr, "{}\n", line); });
+    this->writer.start("log", [this](std::string &&line) { this->print(line); });
+}
+
+// Runs on the writer's thread. Lines that wait together leave in one call.
+void Logger::print(const std::string &line)
+{
+    const core::Time time = now();
+    if (time - this->windowStart >= rateWindow) {
+        this->windowStart = time;
+        this->linesOfWindow = 0;
+        if (const std::uint64_t lost = this->dropped; lost > this->droppedTold) {
+            fmt::print("{}\n", beginLine("log_lines_dropped") + fmt::format(" total={}", lost));
+            this->droppedTold = lost;
+        }
+    }
+    if (++this->linesOfWindow > maxLinesOfSecond)
+        ++this->dropped;
+    else
+        fmt::print("{}\n", line);
+    if (this->writer.inbox().size() == 0)
+        std::fflush(stdout);
 }
 
 Logger::~Logger()
--- a/packages/runtime/src/signals.cpp
+++ b/packages/runtime/src/signals.cpp
@@ -33,6 +33,27 @@
     return received;
 }
 
+void blockReloadSignal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+ProcessSignal waitForSignal(core::Duration limit)
+{
+    sigset_t signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit);
+    const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(limit - seconds);
+    const timespec time{seconds.count(), rest.count()};
+    const int received = sigtimedwait(&signals, nullptr, &time);
+    if (received == SIGHUP)
+        return ProcessSignal::Reload;
+    return received > 0 ? ProcessSignal::Stop : ProcessSignal::None;
+}
+
 void exitAtNextStopSignal(int code)
 {
     std::thread([code] {
--- a/packages/runtime/src/timer_service.cpp
+++ b/packages/runtime/src/timer_service.cpp
@@ -33,24 +33,61 @@
         this->thread.join();
 }
 
+std::size_t TimerService::addAlarm(Callback callback)
+{
+    const std::lock_guard lock(this->mutex);
+    this->alarms.push_back({std::nullopt, std::move(callback)});
+    return this->alarms.size() - 1;
+}
+
+void TimerService::arm(std::size_t alarm, core::Time due)
+{
+    const std::lock_guard lock(this->mutex);
+    this->alarms.at(alarm).due = due;
+    if (!this->sleepsUntil || due < *this->sleepsUntil)
+        this->changed.notify_one();
+}
+
 void TimerService::run()
 {
     nameThisThread("timer");
     std::unique_lock lock(this->mutex);
     while (!this->stopping) {
-        const auto first = std::min_element(
-                this->subscriptions.begin(), this->subscriptions.end(),
-                [](const Subscription &a, const Subscription &b) { return a.due < b.due; });
-        if (first == this->subscriptions.end()) {
+        this->sleepsUntil = this->earliest();
+        if (!this->sleepsUntil)
             this->changed.wait(lock);
+        else if (now() < *this->sleepsUntil)
+            this->changed.wait_until(lock, *this->sleepsUntil);
+        else
+            this->fire(now());
+    }
+}
+
+std::optional<core::Time> TimerService::earliest() const
+{
+    std::optional<core::Time> due;
+    for (const Subscription &subscription : this->subscriptions)
+        due = std::min(due.value_or(subscription.due), subscription.due);
+    for (const Alarm &alarm : this->alarms) {
+        if (alarm.due)
+            due = std::min(due.value_or(*alarm.due), *alarm.due);
+    }
+    return due;
+}
+
+void TimerService::fire(core::Time until)
+{
+    for (Subscription &subscription : this->subscriptions) {
+        if (subscription.due > until)
             continue;
-        }
-        if (now() < first->due) {
-            this->changed.wait_until(lock, first->due);
+        subscription.due = until + this->jittered(subscription.period);
+        subscription.callback();
+    }
+    for (Alarm &alarm : this->alarms) {
+        if (!alarm.due || *alarm.due > until)
             continue;
-        }
-        first->due = now() + this->jittered(first->period);
-        first->callback();
+        alarm.due.reset();
+        alarm.callback();
     }
 }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -32,7 +32,7 @@
 start() {
   local name=$1
   shift
-  "$@" 2>"$work/$name.log" &
+  "$@" >"$work/$name.log" 2>&1 &
   pids+=($!)
   wait_for "$name to start" grep -q event=started "$work/$name.log"
 }
--- a/tests/live/child_process.cpp
+++ b/tests/live/child_process.cpp
@@ -13,7 +13,7 @@
 constexpr auto longestPause = std::chrono::milliseconds(50);
 constexpr std::size_t readBytes = 4096;
 
-pid_t spawn(const std::vector<std::string> &command, int standardError, int closedInChild)
+pid_t spawn(const std::vector<std::string> &command, int output, int closedInChild)
 {
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
@@ -22,9 +22,10 @@
     arguments.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, standardError, STDERR_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
     posix_spawn_file_actions_addclose(&actions, closedInChild);
-    posix_spawn_file_actions_addclose(&actions, standardError);
+    posix_spawn_file_actions_addclose(&actions, output);
     pid_t pid = -1;
     const int failed =
             posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(), environ);
