Back off from a failing store, and order items by whether they can be in time

Ruled out: load of the machine (the same with --no-cpu); lost ownership (each takeover came within 0.1 s).

Change: delays that double up to 400 or 500 ms; the lease is written again only after the feed had time to show its holder; items of batches that are past their due time come last; one run at a time tries an engine that has refused; submissions wait 5 s for the store instead of 2.5 s; one failed call no longer sends all calls of a node over other nodes.

--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -20,8 +20,10 @@
 struct BatchSettings
 {
     /// How long the answer to a submission or an end waits for the store.
-    Duration storePatience = std::chrono::milliseconds(2500);
-    Duration storeRetryDelay = std::chrono::milliseconds(120);
+    /// A client that is told nothing for so long can still try once more within its own limit.
+    Duration storePatience = std::chrono::milliseconds(5000);
+    Duration storeRetryDelay = std::chrono::milliseconds(100); ///< Doubles with each failure.
+    Duration longestRetryDelay = std::chrono::milliseconds(500);
     /// Between two reads of the store for a reader that waits at a node that is not the owner.
     Duration readPeriod = std::chrono::milliseconds(200);
     /// Between two writes of what running texts have made: what a takeover loses at most.
@@ -92,6 +94,7 @@
     std::vector<PartialText> partials;
     bool sent = false;
     Time retryAt{};
+    std::uint32_t failures = 0;
 };
 
 /// A batch that this node works on.
@@ -121,6 +124,7 @@
     bool sent = false;
     bool maybeStored = false; ///< An attempt was not answered.
     Time retryAt{};
+    std::uint32_t failures = 0;
 };
 
 /// An end of a batch that is being stored.
@@ -177,6 +181,7 @@
 {
     std::uint32_t running = 0; ///< Runs of this node.
     Time notBefore{}; ///< Gets no new run before.
+    bool probing = false; ///< It refused a run; one at a time tries it until it opens one.
     Duration eventTime{}; ///< Smoothed time between two events of a run; 0 while unknown.
     Time lastEventAt{};
     WeightMap versions; ///< As its answers told; newer than its row.
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -150,6 +150,8 @@
     /// After an outage of the store, entries of living targets are back within this time.
     Duration lapseLimit = std::chrono::milliseconds(2200);
     Duration takeoverStep = std::chrono::milliseconds(700); ///< For each node ranked before.
+    /// After a write of the lease that failed; by then the feed shows who has it.
+    Duration leaseRetryDelay = std::chrono::milliseconds(500);
 };
 
 struct KnownTarget
@@ -175,6 +177,7 @@
     bool batchesKnown = false;
     OrdersLease lease;
     bool leaseWriting = false;
+    Time leaseRetryAt{};
     std::optional<Time> leaseFreeSince;
     Time ordersAllowedFrom{};
     WeightOrders orders;
--- a/packages/core/include/geraniumpulley/core/fleet/table_follower.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/table_follower.hpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/time.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <variant>
 
@@ -16,7 +17,8 @@
     /// Between two reads of the whole table: a feed may miss changes without a sign. 0 for a table
     /// that is never read whole.
     Duration rereadPeriod{};
-    Duration retryDelay = std::chrono::milliseconds(150); ///< After a failed read.
+    Duration retryDelay = std::chrono::milliseconds(100); ///< After a failed read; doubles.
+    Duration longestRetryDelay = std::chrono::milliseconds(400);
 };
 
 struct TableFollower
@@ -27,6 +29,7 @@
     RowVersion upTo{}; ///< Everything before is known.
     Time nextRead{};
     Time nextWhole{};
+    std::uint32_t failures = 0; ///< In a row.
 };
 
 struct ReadWholeTable
--- a/packages/core/src/batch/batch_commits.cpp
+++ b/packages/core/src/batch/batch_commits.cpp
@@ -1,5 +1,7 @@
 #include "batch_context.hpp"
 
+#include <geraniumpulley/core/back_off.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -106,7 +108,10 @@
     case CommitVerdict::NotDone:
     case CommitVerdict::Unknown:
         // The same rows are sent again: a lost write that takes effect late changes nothing then.
-        batch.commit->retryAt = context.now + context.state.settings.storeRetryDelay;
+        batch.commit->retryAt =
+                context.now
+                + backOff(context.state.settings.storeRetryDelay,
+                          context.state.settings.longestRetryDelay, batch.commit->failures++);
     }
 }
 
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -51,8 +51,9 @@
 // batch_ownership.cpp
 
 /// Begins to work on a batch whose head has this node as its owner.
+/// \param stored what another owner has done of it; null for a new batch.
 void openBatch(BatchContext &context, const BatchHead &head,
-               std::shared_ptr<const BatchOrder> order, OwnershipChange change);
+               std::shared_ptr<const BatchOrder> order, const StoredBatch *stored);
 /// Ends all work on a batch. Its waiters are served from the store.
 void dropBatch(BatchContext &context, const BatchId &id, OwnershipChange change);
 /// Compares the heads of the directory with what this node works on.
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -150,7 +150,7 @@
 } // namespace
 
 void openBatch(BatchContext &context, const BatchHead &head,
-               std::shared_ptr<const BatchOrder> order, OwnershipChange change)
+               std::shared_ptr<const BatchOrder> order, const StoredBatch *stored)
 {
     OwnedBatch batch;
     batch.head = head;
@@ -158,7 +158,13 @@
     batch.items.resize(batch.order->items.size());
     batch.submittedAt = localTime(context, head.submittedAt);
     batch.nextPartials = context.now + context.state.settings.partialPeriod;
-    context.actions.emplace_back(OwnershipChanged{head.id, change, head.version, 0, head.total});
+    if (stored != nullptr)
+        restoreTexts(batch, *stored);
+    const OwnershipChange change =
+            stored == nullptr ? OwnershipChange::Opened : OwnershipChange::TakenOver;
+    context.actions.emplace_back(
+            OwnershipChanged{head.id, change, head.version,
+                             static_cast<std::uint32_t>(batch.listed.size()), head.total});
     context.state.owned.insert_or_assign(head.id, std::move(batch));
 }
 
@@ -251,9 +257,7 @@
         || !isOwnHead(context, event.stored->head) || state.owned.count(event.batch) != 0)
         return;
     const StoredBatch &stored = *event.stored;
-    openBatch(context, stored.head, std::make_shared<BatchOrder>(stored.order),
-              OwnershipChange::TakenOver);
-    restoreTexts(state.owned.at(event.batch), stored);
+    openBatch(context, stored.head, std::make_shared<BatchOrder>(stored.order), &stored);
 }
 
 void advanceLoads(BatchContext &context)
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -1,5 +1,7 @@
 #include "batch_context.hpp"
 
+#include <geraniumpulley/core/back_off.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -105,7 +107,9 @@
         return;
     PendingSubmission &submission = position->second;
     submission.sent = false;
-    submission.retryAt = context.now + state.settings.storeRetryDelay;
+    submission.retryAt = context.now
+                         + backOff(state.settings.storeRetryDelay, state.settings.longestRetryDelay,
+                                   submission.failures++);
     if (event.outcome == StoreOutcome::Unknown)
         submission.maybeStored = true;
     const bool isStored = event.outcome == StoreOutcome::Done
@@ -121,7 +125,7 @@
     const bool isOwn =
             head.owner == state.self.id && head.ownerIncarnation == state.self.incarnation;
     if (isOwn && !head.ended)
-        openBatch(context, head, order, OwnershipChange::Opened);
+        openBatch(context, head, order, nullptr);
 }
 
 void advanceSubmissions(BatchContext &context)
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -19,6 +19,7 @@
 {
     OwnedBatch *batch = nullptr;
     std::uint32_t index = 0;
+    std::uint32_t lateness = 0; ///< Due times that have passed since the submission.
     bool begun = false; ///< It has a text, or was refused: others of its group may wait for it.
     std::uint64_t expected = 0;
 };
@@ -40,20 +41,31 @@
     return {&position->second, &batch, &batch.items[position->second.item]};
 }
 
+// A trainer gives a late batch up sooner or later, so what can still be in time goes first.
+std::uint32_t latenessOf(const BatchContext &context, const OwnedBatch &batch)
+{
+    const Route *route = routeOf(context, *batch.order);
+    if (route == nullptr || route->dueAfter <= Duration{} || context.now < batch.submittedAt)
+        return 0;
+    return static_cast<std::uint32_t>((context.now - batch.submittedAt) / route->dueAfter);
+}
+
 std::vector<WaitingItem> collectWaiting(BatchContext &context)
 {
     std::vector<WaitingItem> waiting;
     for (auto &[id, batch] : context.state.owned) {
+        const std::uint32_t lateness = latenessOf(context, batch);
         for (std::uint32_t i = 0; i < batch.items.size(); ++i) {
             const ItemState &item = batch.items[i];
             if (item.phase == ItemPhase::Waiting && item.notBefore <= context.now)
-                waiting.push_back({&batch, i, item.runs > 0 || item.lastEvent > 0,
+                waiting.push_back({&batch, i, lateness, item.runs > 0 || item.lastEvent > 0,
                                    batch.order->items[i].expectedTokens});
         }
     }
     // The longest first, so that they do not run alone at the end.
     std::stable_sort(waiting.begin(), waiting.end(), [](const auto &a, const auto &b) {
-        return std::tuple(a.begun, a.expected) > std::tuple(b.begun, b.expected);
+        return std::tuple(b.lateness, a.begun, a.expected)
+               > std::tuple(a.lateness, b.begun, b.expected);
     });
     return waiting;
 }
@@ -240,6 +252,8 @@
 void onRunOpened(BatchContext &context, const RunOpened &event)
 {
     const FoundRun found = findRun(context, event.run);
+    if (found.record != nullptr)
+        context.state.engines[found.record->target].probing = false;
     if (found.record != nullptr && event.version)
         takeVersion(context, event.run, *event.version);
 }
@@ -298,6 +312,7 @@
             use.notBefore = context.now + settings.lostTargetPause;
         return wait(item, RunCause::AfterLoss, context.now);
     case RunEnd::Refused:
+        use.probing = true;
         use.notBefore = context.now + settings.targetPause;
         return wait(item, RunCause::AfterRefusal, context.now);
     case RunEnd::WrongTarget:
--- a/packages/core/src/batch/engine_choice.cpp
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -48,6 +48,16 @@
     return version >= order.leastVersion;
 }
 
+// Runs that this node may have on an engine. One that has just refused gets a single one, which
+// shows whether it takes work again.
+std::uint32_t roomOf(const FleetTarget &engine, const EngineUse *use, bool isOwn,
+                     const BatchSettings &settings)
+{
+    if (use != nullptr && use->probing)
+        return 1;
+    return isOwn ? engine.slots : engine.slots * settings.spillPercent / 100;
+}
+
 struct Choice
 {
     const FleetTarget *engine = nullptr;
@@ -80,10 +90,8 @@
             continue;
         const auto model = assigned.find(id);
         const bool isOwn = model != assigned.end() && model->second == order.model;
-        const std::uint32_t room =
-                isOwn ? engine->slots : engine->slots * settings.spillPercent / 100;
         const std::uint32_t running = use == nullptr ? 0 : use->running;
-        if (running >= room)
+        if (running >= roomOf(*engine, use, isOwn, settings))
             continue;
         // Engines of other models, the one that has just failed and slow ones come after.
         const int rank =
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -59,6 +59,9 @@
     {
         FleetState &state = this->state;
         state.leaseWriting = false;
+        state.leaseRetryAt = this->now + state.settings.leaseRetryDelay;
+        if (event.outcome == StoreOutcome::Conflict)
+            this->follower(FleetTable::Batches).wantsWhole = true;
         if (event.outcome != StoreOutcome::Done || event.version <= state.lease.version)
             return;
         const bool followsOther =
@@ -163,7 +166,9 @@
     void advanceLease()
     {
         FleetState &state = this->state;
-        if (!state.batchesKnown || state.leaseWriting)
+        // Before its own beat comes back a node does not know who else is there.
+        const bool isHeard = state.presence.nodes.count(state.settings.self.id) != 0;
+        if (!state.batchesKnown || !isHeard || state.leaseWriting || this->now < state.leaseRetryAt)
             return;
         if (this->holdsLease()) {
             if (state.draining)
--- a/packages/core/src/fleet/store_path.cpp
+++ b/packages/core/src/fleet/store_path.cpp
@@ -7,9 +7,21 @@
     return now < path.directRestsUntil ? StoreRoute::Relay : StoreRoute::Direct;
 }
 
-void noteDirectCall(StorePath &path, bool served, Time now)
+bool noteDirectCall(StorePath &path, bool served, Time now)
 {
-    path.directRestsUntil = served ? now : now + path.restAfterFailure;
+    const bool wasLost = path.lost;
+    if (served) {
+        path.failingSince.reset();
+        path.lost = false;
+        path.directRestsUntil = now;
+        return wasLost;
+    }
+    if (!path.failingSince)
+        path.failingSince = now;
+    path.lost = path.lost || now - *path.failingSince >= path.lossLimit;
+    if (path.lost)
+        path.directRestsUntil = now + path.restAfterFailure;
+    return path.lost != wasLost;
 }
 
 void noteRelayedCall(StorePath &path, bool served, Time now)
--- a/packages/core/src/fleet/table_follower.cpp
+++ b/packages/core/src/fleet/table_follower.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/fleet/table_follower.hpp>
 
+#include <geraniumpulley/core/back_off.hpp>
+
 #include <algorithm>
 
 namespace geraniumpulley::core {
@@ -35,6 +37,7 @@
     follower.reading = false;
     follower.upTo = std::max(follower.upTo, upTo);
     follower.nextRead = now + follower.settings.pause;
+    follower.failures = 0;
     if (!wasWhole)
         return;
     follower.wantsWhole = false;
@@ -46,7 +49,9 @@
 void noteFailure(TableFollower &follower, bool historyGone, Time now)
 {
     follower.reading = false;
-    follower.nextRead = now + follower.settings.retryDelay;
+    const FollowSettings &settings = follower.settings;
+    follower.nextRead =
+            now + backOff(settings.retryDelay, settings.longestRetryDelay, follower.failures++);
     follower.wantsWhole = true;
     if (historyGone && follower.settings.rereadPeriod == Duration{})
         follower.upTo = RowVersion{};
--- a/packages/entry/src/store_link.cpp
+++ b/packages/entry/src/store_link.cpp
@@ -149,8 +149,7 @@
     bool changed = false;
     {
         const std::lock_guard lock(this->mutex);
-        core::noteDirectCall(this->path, served, runtime::now());
-        changed = std::exchange(this->reachable, served) != served;
+        changed = core::noteDirectCall(this->path, served, runtime::now());
     }
     if (!served)
         this->parts.metrics.count("store_calls_failed");
--- a/packages/entry/src/store_link.hpp
+++ b/packages/entry/src/store_link.hpp
@@ -72,7 +72,6 @@
     std::vector<std::string> seeds;
     std::vector<std::string> nodes;
     std::size_t turn = 0;
-    bool reachable = true;
 };
 
 } // namespace geraniumpulley::entry
