--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -162,9 +162,9 @@
         restoreTexts(batch, *stored);
     const OwnershipChange change =
             stored == nullptr ? OwnershipChange::Opened : OwnershipChange::TakenOver;
-    context.actions.emplace_back(
-            OwnershipChanged{head.id, change, head.version,
-                             static_cast<std::uint32_t>(batch.listed.size()), head.total});
+    context.actions.emplace_back(OwnershipChanged{head.id, change, head.version,
+                                                  static_cast<std::uint32_t>(batch.listed.size()),
+                                                  head.total});
     context.state.owned.insert_or_assign(head.id, std::move(batch));
 }
 
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -32,6 +32,12 @@
            || status == statusMisdirected;
 }
 
+std::uint32_t countOf(const std::map<TargetId, std::uint32_t> &counts, const TargetId &id)
+{
+    const auto position = counts.find(id);
+    return position == counts.end() ? 0 : position->second;
+}
+
 using Requests = std::map<ReplyToken, EntryRequest>;
 
 struct Handler
@@ -251,8 +257,9 @@
              servingTargets(*this->state.directory->targets, request.service)) {
             const TargetId &id = known->target.id;
             const Candidate candidate{&known->target,
-                                      this->state.load[id] + this->state.reported[id], 0,
-                                      isUsable(this->state.health[id], this->now)};
+                                      countOf(this->state.load, id)
+                                              + countOf(this->state.reported, id),
+                                      0, isUsable(this->state.health[id], this->now)};
             (request.tried.count(id) == 0 ? fresh : again).push_back(candidate);
         }
         constexpr auto noLimit = std::numeric_limits<std::uint32_t>::max();
--- /dev/null
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -0,0 +1,200 @@
+#include <geraniumpulley/core/fleet/fleet.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace geraniumpulley::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time start{std::chrono::seconds(100)};
+
+// One node; its reads and heartbeats are answered by the test.
+struct FleetWorld
+{
+    FleetState state;
+    Time now = start;
+    std::vector<FleetAction> actions;
+
+    FleetWorld() : state(makeFleetState(settings(), start)) { this->send(FleetTick{}); }
+
+    static FleetSettings settings()
+    {
+        FleetSettings settings;
+        settings.self = {{"self"}, "self:1", "zone", 1};
+        return settings;
+    }
+
+    void send(const FleetEvent &event) { this->actions = step(this->state, event, this->now); }
+
+    template<typename Action>
+    const Action *find() const
+    {
+        for (const FleetAction &action : this->actions) {
+            if (const auto *found = std::get_if<Action>(&action))
+                return found;
+        }
+        return nullptr;
+    }
+
+    void read(FleetTable table, bool whole, std::vector<FleetRow> rows, std::uint64_t upTo = 1)
+    {
+        this->send(TableRead{table, whole, std::move(rows), RowVersion{upTo}, 50s});
+    }
+
+    void beatBack(std::uint64_t counter)
+    {
+        this->send(BeatWritten{this->now, true});
+        this->read(FleetTable::Nodes, false,
+                   {{"beat", RowVersion{counter}, NodeBeat{settings().self, counter, false}}});
+    }
+};
+
+FleetRow targetRow(const std::string &id, bool leaving = false)
+{
+    FleetTarget target;
+    target.target = {{id}, {"service"}, "a:1", "zone", leaving};
+    return {id, RowVersion{1}, target};
+}
+
+FleetRow routingRow(std::uint64_t row, std::uint64_t version)
+{
+    auto table = std::make_shared<RoutingTable>();
+    table->version = ConfigurationVersion{version};
+    return {"config", RowVersion{row}, std::shared_ptr<const RoutingTable>(table)};
+}
+
+OrdersLease leaseOf(const std::string &holder, std::uint64_t incarnation, std::uint64_t version)
+{
+    return {{holder}, incarnation, RowVersion{version}};
+}
+
+} // namespace
+
+TEST_CASE("the first tick reads all tables and writes a heartbeat")
+{
+    const FleetWorld world;
+    CHECK(world.find<ReadTable>() != nullptr);
+    CHECK(world.find<FollowTable>() != nullptr);
+    CHECK(world.find<WriteBeat>() != nullptr);
+}
+
+TEST_CASE("an older routing row never replaces a newer one")
+{
+    FleetWorld world;
+    world.read(FleetTable::Routing, true, {routingRow(10, 3)});
+    CHECK(world.state.routing->version == ConfigurationVersion{3});
+    world.read(FleetTable::Routing, true, {routingRow(9, 2)});
+    CHECK(world.state.routing->version == ConfigurationVersion{3});
+    world.read(FleetTable::Routing, false, {routingRow(12, 5)});
+    CHECK(world.state.routing->version == ConfigurationVersion{5});
+}
+
+TEST_CASE("a target that leaves or is gone takes no new work at once")
+{
+    FleetWorld world;
+    world.read(FleetTable::Targets, true, {targetRow("a"), targetRow("b")});
+    world.read(FleetTable::Targets, false, {targetRow("a", true)});
+    CHECK(world.find<PublishDirectory>()->directory->targets->at({"a"}).target.leaving);
+    world.read(FleetTable::Targets, false, {{"b", RowVersion{2}, std::monostate{}}});
+    CHECK(world.find<PublishDirectory>()->directory->targets->count({"b"}) == 0);
+}
+
+TEST_CASE("entries that lapsed in an outage of the store are kept until they may be back")
+{
+    FleetWorld world;
+    world.read(FleetTable::Targets, true, {targetRow("a"), targetRow("b")});
+    world.now += 5s;
+    world.send(TableReadFailed{FleetTable::Targets, false});
+    world.now += 200ms;
+    world.read(FleetTable::Targets, true, {targetRow("a")});
+    CHECK(world.state.targets.count({"b"}) == 1);
+    world.now += 1s;
+    world.read(FleetTable::Targets, false, {targetRow("b")});
+    world.now += 3s;
+    world.send(FleetTick{});
+    CHECK(world.state.targets.count({"b"}) == 1);
+    // One that does not come back is dropped.
+    world.send(TableReadFailed{FleetTable::Targets, false});
+    world.read(FleetTable::Targets, true, {targetRow("a")});
+    world.now += 2300ms;
+    world.send(FleetTick{});
+    CHECK(world.state.targets.count({"b"}) == 0);
+}
+
+TEST_CASE("the lease on weight orders is taken when nobody has it, and only once")
+{
+    FleetWorld world;
+    world.read(FleetTable::Batches, true, {});
+    CHECK(world.find<WriteOrdersLease>() == nullptr);
+    world.beatBack(1);
+    const auto *write = world.find<WriteOrdersLease>();
+    REQUIRE(write != nullptr);
+    CHECK(write->expected == RowVersion{});
+    world.send(FleetTick{});
+    CHECK(world.find<WriteOrdersLease>() == nullptr);
+    world.send(OrdersLeaseWritten{StoreOutcome::Conflict, {}});
+    CHECK(world.find<WriteOrdersLease>() == nullptr);
+}
+
+TEST_CASE("a holder that follows another one waits the lease out before its first order")
+{
+    FleetWorld world;
+    world.read(FleetTable::Batches, true, {{"lease", RowVersion{4}, leaseOf("other", 1, 4)}});
+    for (std::uint64_t beat = 1; beat <= 5; ++beat) {
+        world.now += 600ms;
+        world.beatBack(beat);
+    }
+    REQUIRE(world.state.leaseWriting);
+    world.send(OrdersLeaseWritten{StoreOutcome::Done, RowVersion{8}});
+    CHECK(world.state.lease.holder.value == "self");
+    CHECK(world.state.ordersAllowedFrom == world.now + 3s);
+}
+
+TEST_CASE("a lease of this node whose answer was lost is found in the table")
+{
+    FleetWorld world;
+    world.read(FleetTable::Batches, true, {});
+    world.beatBack(1);
+    world.send(OrdersLeaseWritten{StoreOutcome::Unknown, {}});
+    world.read(FleetTable::Batches, false, {{"lease", RowVersion{6}, leaseOf("self", 1, 6)}});
+    CHECK(world.state.lease.version == RowVersion{6});
+    CHECK(world.state.lease.holder.value == "self");
+}
+
+TEST_CASE("a machine that stood still does not trust its own memory before the next heartbeat")
+{
+    FleetWorld world;
+    world.beatBack(1);
+    CHECK(world.state.ownershipKnownUntil > world.now);
+    world.send(ClockSuspended{});
+    CHECK(world.state.ownershipKnownUntil <= world.now);
+}
+
+TEST_CASE("a stopping node gives the lease up")
+{
+    FleetWorld world;
+    world.read(FleetTable::Batches, true, {});
+    world.beatBack(1);
+    world.send(OrdersLeaseWritten{StoreOutcome::Done, RowVersion{8}});
+    world.now += 1s;
+    world.send(FleetDraining{});
+    const auto *write = world.find<WriteOrdersLease>();
+    REQUIRE(write != nullptr);
+    CHECK(write->lease.holder.value.empty());
+    CHECK(write->expected == RowVersion{8});
+}
+
+TEST_CASE("ranks of a takeover differ from node to node and name one first node")
+{
+    std::vector<Node> nodes;
+    for (const char *id : {"a", "b", "c", "d"})
+        nodes.push_back({{id}, "", "", 1});
+    std::vector<std::size_t> ranks;
+    for (const Node &node : nodes)
+        ranks.push_back(takeoverRank("key", nodes, node.id));
+    std::sort(ranks.begin(), ranks.end());
+    CHECK(ranks == std::vector<std::size_t>{0, 1, 2, 3});
+}
--- /dev/null
+++ b/packages/core/tests/fleet/unit-table_follower.cpp
@@ -0,0 +1,87 @@
+#include <geraniumpulley/core/fleet/table_follower.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Time start{std::chrono::seconds(100)};
+
+TableFollower makeFollower(Duration rereadPeriod)
+{
+    TableFollower follower;
+    follower.settings.pause = 50ms;
+    follower.settings.wait = 1s;
+    follower.settings.rereadPeriod = rereadPeriod;
+    return follower;
+}
+
+bool isWhole(const std::optional<FollowerRead> &read)
+{
+    return read && std::holds_alternative<ReadWholeTable>(*read);
+}
+
+} // namespace
+
+TEST_CASE("a table is read whole first, then its changes")
+{
+    TableFollower follower = makeFollower(2s);
+    CHECK(isWhole(nextRead(follower, start)));
+    CHECK_FALSE(nextRead(follower, start).has_value());
+    noteAnswer(follower, true, RowVersion{7}, start + 10ms);
+    CHECK_FALSE(nextRead(follower, start + 20ms).has_value());
+    const auto read = nextRead(follower, start + 60ms);
+    REQUIRE(read.has_value());
+    const auto *changes = std::get_if<ReadTableChanges>(&*read);
+    REQUIRE(changes != nullptr);
+    CHECK(changes->after == RowVersion{7});
+    CHECK(changes->wait == 1s);
+}
+
+TEST_CASE("a feed that stays silent does not put the next whole read off")
+{
+    TableFollower follower = makeFollower(2s);
+    static_cast<void>(nextRead(follower, start));
+    noteAnswer(follower, true, RowVersion{7}, start);
+    Time now = start;
+    while (now < start + 1900ms) {
+        now += 100ms;
+        if (nextRead(follower, now))
+            noteAnswer(follower, false, RowVersion{7}, now);
+    }
+    CHECK(isWhole(nextRead(follower, start + 2100ms)));
+}
+
+TEST_CASE("after a failure the table is read whole, with growing delays")
+{
+    TableFollower follower = makeFollower(2s);
+    static_cast<void>(nextRead(follower, start));
+    noteAnswer(follower, true, RowVersion{7}, start);
+    static_cast<void>(nextRead(follower, start + 50ms));
+    noteFailure(follower, true, start + 60ms);
+    CHECK(dueAt(follower) == start + 160ms);
+    CHECK(isWhole(nextRead(follower, start + 160ms)));
+    noteFailure(follower, false, start + 160ms);
+    CHECK(dueAt(follower) == start + 360ms);
+    for (int i = 0; i < 5; ++i) {
+        static_cast<void>(nextRead(follower, start + 10s));
+        noteFailure(follower, false, start + 10s);
+    }
+    CHECK(dueAt(follower) == start + 10s + 400ms);
+}
+
+TEST_CASE("a table that is never read whole starts again from the newest version")
+{
+    TableFollower follower = makeFollower(Duration{});
+    auto read = nextRead(follower, start);
+    REQUIRE(read.has_value());
+    CHECK(std::get<ReadTableChanges>(*read).after == RowVersion{});
+    noteAnswer(follower, false, RowVersion{9}, start);
+    static_cast<void>(nextRead(follower, start + 1s));
+    noteFailure(follower, true, start + 1s);
+    read = nextRead(follower, start + 2s);
+    REQUIRE(read.has_value());
+    CHECK(std::get<ReadTableChanges>(*read).after == RowVersion{});
+}
--- /dev/null
+++ b/packages/entry/tests/unit-settings.cpp
@@ -0,0 +1,56 @@
+#include <geraniumpulley/entry/settings.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string text = R"({"interface":"platform","node":"n","data_centre":"z",
+  "callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
+  "metrics":"127.0.0.1:4","store":"127.0.0.1:5","seeds":["127.0.0.1:6"],
+  "stop_limit_ms":8000,"lease_time_ms":3000})";
+
+std::string replaced(std::string whole, const std::string &from, const std::string &to)
+{
+    whole.replace(whole.find(from), from.size(), to);
+    return whole;
+}
+
+} // namespace
+
+TEST_CASE("settings for the platform's interface are read")
+{
+    CHECK(entry::isForPlatform(text));
+    const entry::ParsedSettings parsed = entry::parseSettings(text);
+    REQUIRE(parsed.problems.empty());
+    CHECK(parsed.settings.node == "n");
+    CHECK(parsed.settings.storeAddress == "127.0.0.1:5");
+    CHECK(parsed.settings.seeds.size() == 1);
+    CHECK(parsed.settings.stopLimit == 8s);
+    CHECK(parsed.settings.leaseTime == 3s);
+}
+
+TEST_CASE("settings of the product's own interface are not for the platform")
+{
+    CHECK_FALSE(entry::isForPlatform(R"({"node":"n","platform":"http://127.0.0.1:1"})"));
+    CHECK_FALSE(entry::isForPlatform("not json"));
+    CHECK_FALSE(entry::isForPlatform(R"({"interface":7})"));
+}
+
+TEST_CASE("all problems are told at once, each with its key")
+{
+    std::string broken = replaced(text, R"("callers":"127.0.0.1:1")", R"("callers":"here")");
+    broken = replaced(broken, R"("store":"127.0.0.1:5",)", "");
+    broken = replaced(broken, R"("stop_limit_ms":8000)", R"("stop_limit_ms":-1)");
+    broken = replaced(broken, R"("metrics":"127.0.0.1:4")", R"("metrics":"x","extra":1)");
+    const entry::ParsedSettings parsed = entry::parseSettings(broken);
+    std::string places;
+    for (const core::ConfigurationProblem &problem : parsed.problems)
+        places += problem.place + " ";
+    for (const char *key : {"callers", "store", "stop_limit_ms", "metrics", "extra"}) {
+        CAPTURE(places);
+        CHECK(places.find(key) != std::string::npos);
+    }
+}
