--- a/bench/bench_claims.cpp
+++ b/bench/bench_claims.cpp
@@ -1,6 +1,6 @@
 // Store writes for each call that may not be repeated and the delay that grouping adds, with the
 // decision code of one shard's holder on virtual time.
-#include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
 
 #include <fmt/format.h>
 
--- a/bench/bench_rollout.cpp
+++ b/bench/bench_rollout.cpp
@@ -1,7 +1,7 @@
 #include <geraniumpulley/codec/step_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
-#include <geraniumpulley/core/placement.hpp>
-#include <geraniumpulley/core/step_state.hpp>
+#include <geraniumpulley/core/rollouts/placement.hpp>
+#include <geraniumpulley/core/rollouts/step_state.hpp>
 
 #include <fmt/format.h>
 
--- a/bench/bench_routing.cpp
+++ b/bench/bench_routing.cpp
@@ -1,6 +1,6 @@
 // Weighs ways of choosing a target with the decision code, on virtual time and scripted load.
-#include <geraniumpulley/core/retry_budget.hpp>
-#include <geraniumpulley/core/routing.hpp>
+#include <geraniumpulley/core/calls/retry_budget.hpp>
+#include <geraniumpulley/core/calls/routing.hpp>
 
 #include <fmt/format.h>
 
--- a/examples/embed_core.cpp
+++ b/examples/embed_core.cpp
@@ -1,5 +1,5 @@
 // Embeds the core alone: checks a configuration without any input or output of the library.
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
 
 #include <cstdio>
 
--- a/packages/codec/include/geraniumpulley/codec/engine_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/engine_messages.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/codec/platform_messages.hpp>
-#include <geraniumpulley/core/engines.hpp>
+#include <geraniumpulley/core/engines/engines.hpp>
 #include <geraniumpulley/core/result.hpp>
 
 #include <string>
--- a/packages/codec/include/geraniumpulley/codec/operator_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/operator_messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/control.hpp>
+#include <geraniumpulley/core/control/control.hpp>
 
 #include <string>
 #include <vector>
--- a/packages/codec/include/geraniumpulley/codec/peer_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/peer_messages.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <geraniumpulley/core/control.hpp>
-#include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
+#include <geraniumpulley/core/control/control.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include <string>
 
--- a/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/platform_messages.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <geraniumpulley/core/control.hpp>
-#include <geraniumpulley/core/lease.hpp>
-#include <geraniumpulley/core/lease_manager.hpp>
+#include <geraniumpulley/core/control/control.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/lease_manager.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <optional>
 #include <string>
--- a/packages/codec/include/geraniumpulley/codec/step_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/step_messages.hpp
@@ -2,7 +2,7 @@
 
 #include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include <cstdint>
 #include <set>
--- a/packages/codec/include/geraniumpulley/codec/target_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/target_messages.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/packages/codec/include/geraniumpulley/codec/trainer_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/trainer_messages.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
 #include <geraniumpulley/core/result.hpp>
-#include <geraniumpulley/core/sample.hpp>
+#include <geraniumpulley/core/rollouts/sample.hpp>
 
 #include <string>
 #include <vector>
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/call.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/call.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <geraniumpulley/core/calls/outcome.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/outcome.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/claim_key.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/claim_key.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/call.hpp>
+#include <geraniumpulley/core/calls/call.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/claims.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/claims.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/call.hpp>
-#include <geraniumpulley/core/claim_key.hpp>
-#include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/calls/call.hpp>
+#include <geraniumpulley/core/calls/claim_key.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/dispatch.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/dispatch.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <geraniumpulley/core/admission.hpp>
-#include <geraniumpulley/core/call.hpp>
-#include <geraniumpulley/core/claims.hpp>
-#include <geraniumpulley/core/configuration.hpp>
-#include <geraniumpulley/core/engine_report.hpp>
+#include <geraniumpulley/core/calls/admission.hpp>
+#include <geraniumpulley/core/calls/call.hpp>
+#include <geraniumpulley/core/calls/claims.hpp>
+#include <geraniumpulley/core/calls/retry_budget.hpp>
+#include <geraniumpulley/core/calls/routing.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/view.hpp>
+#include <geraniumpulley/core/engines/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/lease.hpp>
-#include <geraniumpulley/core/retry_budget.hpp>
-#include <geraniumpulley/core/routing.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/routing.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/routing.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/target_health.hpp>
+#include <geraniumpulley/core/calls/target_health.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/control.hpp
+++ b/packages/core/include/geraniumpulley/core/control/control.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
+#include <geraniumpulley/core/configuration/text_patch.hpp>
+#include <geraniumpulley/core/control/lease_manager.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/lease_manager.hpp>
-#include <geraniumpulley/core/text_patch.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/lease_manager.hpp
+++ b/packages/core/include/geraniumpulley/core/control/lease_manager.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/engine_group.hpp
+++ b/packages/core/include/geraniumpulley/core/engines/engine_group.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <string>
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch.hpp>
+#include <geraniumpulley/core/calls/routing.hpp>
+#include <geraniumpulley/core/calls/target_health.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/routing.hpp>
-#include <geraniumpulley/core/target_health.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch_head.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
 #include <geraniumpulley/core/fleet/routing_table.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
@@ -38,6 +38,7 @@
 {
     std::shared_ptr<const RoutingTable> routing; ///< Null until one is known.
     std::shared_ptr<const TargetMap> targets;
+    bool targetsKnown = false; ///< Their table has been read; else `targets` is empty.
     std::shared_ptr<const WeightMap> desiredWeights;
     std::shared_ptr<const BatchMap> batches; ///< Null until the table was read.
     Presence presence;
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
 #include <geraniumpulley/core/fleet/table_follower.hpp>
 #include <geraniumpulley/core/fleet/weight_orders.hpp>
-#include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/store_outcome.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <array>
 #include <cstdint>
@@ -172,6 +172,7 @@
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRow{};
     std::map<TargetId, KnownTarget> targets;
+    bool targetsKnown = false;
     WeightMap desiredWeights;
     BatchMap batches;
     bool batchesKnown = false;
--- a/packages/core/include/geraniumpulley/core/fleet/presence.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/presence.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/lease.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- /dev/null
+++ b/packages/core/include/geraniumpulley/core/http_status.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+/// HTTP statuses that decisions depend on.
+namespace geraniumpulley::core::status {
+
+inline constexpr std::uint32_t ok = 200;
+inline constexpr std::uint32_t accepted = 202;
+inline constexpr std::uint32_t firstRedirection = 300;
+inline constexpr std::uint32_t badRequest = 400;
+inline constexpr std::uint32_t notFound = 404;
+inline constexpr std::uint32_t requestTimeout = 408;
+inline constexpr std::uint32_t conflict = 409;
+inline constexpr std::uint32_t gone = 410;
+inline constexpr std::uint32_t preconditionFailed = 412;
+inline constexpr std::uint32_t contentTooLarge = 413;
+inline constexpr std::uint32_t misdirected = 421;
+inline constexpr std::uint32_t unprocessable = 422;
+inline constexpr std::uint32_t tooManyRequests = 429;
+inline constexpr std::uint32_t serverError = 500;
+inline constexpr std::uint32_t badGateway = 502;
+inline constexpr std::uint32_t unavailable = 503;
+inline constexpr std::uint32_t gatewayTimeout = 504;
+
+} // namespace geraniumpulley::core::status
--- a/packages/core/include/geraniumpulley/core/placement.hpp
+++ b/packages/core/include/geraniumpulley/core/rollouts/placement.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
-#include <geraniumpulley/core/engine_report.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
+#include <geraniumpulley/core/control/view.hpp>
+#include <geraniumpulley/core/engines/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <cstdint>
 #include <map>
--- a/packages/core/include/geraniumpulley/core/rollout.hpp
+++ b/packages/core/include/geraniumpulley/core/rollouts/rollout.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
-#include <geraniumpulley/core/engine_report.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/control/view.hpp>
+#include <geraniumpulley/core/engines/engine_report.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/lease.hpp>
-#include <geraniumpulley/core/placement.hpp>
-#include <geraniumpulley/core/sample.hpp>
-#include <geraniumpulley/core/step_record.hpp>
-#include <geraniumpulley/core/step_state.hpp>
+#include <geraniumpulley/core/rollouts/placement.hpp>
+#include <geraniumpulley/core/rollouts/sample.hpp>
+#include <geraniumpulley/core/rollouts/step_record.hpp>
+#include <geraniumpulley/core/rollouts/step_state.hpp>
 #include <geraniumpulley/core/time.hpp>
-#include <geraniumpulley/core/view.hpp>
 
 #include <compare>
 #include <cstdint>
--- a/packages/core/include/geraniumpulley/core/step_record.hpp
+++ b/packages/core/include/geraniumpulley/core/rollouts/step_record.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <geraniumpulley/core/lease.hpp>
-#include <geraniumpulley/core/sample.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/rollouts/sample.hpp>
 
 #include <string>
 #include <utility>
--- a/packages/core/include/geraniumpulley/core/step_state.hpp
+++ b/packages/core/include/geraniumpulley/core/rollouts/step_state.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <geraniumpulley/core/sample.hpp>
-#include <geraniumpulley/core/step_record.hpp>
+#include <geraniumpulley/core/rollouts/sample.hpp>
+#include <geraniumpulley/core/rollouts/step_record.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
--- a/packages/core/src/call.cpp
+++ b/packages/core/src/calls/call.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/call.hpp>
+#include <geraniumpulley/core/calls/call.hpp>
 
 namespace geraniumpulley::core {
 
--- a/packages/core/src/claim_commits.cpp
+++ b/packages/core/src/calls/claim_commits.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/claims.hpp>
+#include <geraniumpulley/core/calls/claims.hpp>
 
 #include "claim_detail.hpp"
 
--- a/packages/core/src/claim_detail.hpp
+++ b/packages/core/src/calls/claim_detail.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/claims.hpp>
+#include <geraniumpulley/core/calls/claims.hpp>
 
 #include <optional>
 #include <string>
--- a/packages/core/src/claim_key.cpp
+++ b/packages/core/src/calls/claim_key.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/claim_key.hpp>
+#include <geraniumpulley/core/calls/claim_key.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/outcome.cpp
+++ b/packages/core/src/calls/outcome.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/outcome.hpp>
+#include <geraniumpulley/core/calls/outcome.hpp>
 
 namespace geraniumpulley::core {
 
--- a/packages/core/src/retry_budget.cpp
+++ b/packages/core/src/calls/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/retry_budget.hpp>
+#include <geraniumpulley/core/calls/retry_budget.hpp>
 
 #include <algorithm>
 
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/calls/routing.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/routing.hpp>
+#include <geraniumpulley/core/calls/routing.hpp>
 
 #include <algorithm>
 #include <tuple>
--- a/packages/core/src/target_health.cpp
+++ b/packages/core/src/calls/target_health.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/target_health.hpp>
+#include <geraniumpulley/core/calls/target_health.hpp>
 
 #include <algorithm>
 
--- a/packages/core/src/configuration_difference.cpp
+++ b/packages/core/src/configuration/configuration_difference.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
 
 #include <map>
 
--- a/packages/core/src/text_patch.cpp
+++ b/packages/core/src/configuration/text_patch.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/text_patch.hpp>
+#include <geraniumpulley/core/configuration/text_patch.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/control.cpp
+++ b/packages/core/src/control/control.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/control.hpp>
+#include <geraniumpulley/core/control/control.hpp>
 
 #include "control_parts.hpp"
 
--- a/packages/core/src/lease.cpp
+++ b/packages/core/src/control/lease.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/lease.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/view.cpp
+++ b/packages/core/src/control/view.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/view.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/engine_group.cpp
+++ b/packages/core/src/engines/engine_group.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/engine_group.hpp>
+#include <geraniumpulley/core/engines/engine_group.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/engine_report.cpp
+++ b/packages/core/src/engines/engine_report.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/engine_report.hpp>
+#include <geraniumpulley/core/engines/engine_report.hpp>
 
 #include <algorithm>
 
--- a/packages/core/src/engine_waves.cpp
+++ b/packages/core/src/engines/engine_waves.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/engines.hpp>
+#include <geraniumpulley/core/engines/engines.hpp>
 
 #include <algorithm>
 #include <cassert>
--- a/packages/core/src/engines.cpp
+++ b/packages/core/src/engines/engines.cpp
@@ -1,4 +1,6 @@
-#include <geraniumpulley/core/engines.hpp>
+#include <geraniumpulley/core/engines/engines.hpp>
+
+#include "engine_holds.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -11,7 +13,6 @@
 using Actions = std::vector<EnginesAction>;
 
 constexpr Duration pendingLimit = std::chrono::seconds(4);
-constexpr Duration claimTimeout = std::chrono::seconds(5); // Longer than two calls of the store.
 constexpr Duration lostOrderLimit = std::chrono::seconds(15);
 constexpr Duration heardLimit = std::chrono::seconds(30);
 constexpr Duration firstBackoff = std::chrono::seconds(1);
@@ -33,20 +34,6 @@
     return std::max(state.settings.pollPeriod, state.settings.pollSpacing * engines);
 }
 
-std::string makeClaim(EnginesState &state)
-{
-    ++state.claims;
-    return state.settings.self.value + "/" + state.settings.process + "/"
-           + std::to_string(state.claims);
-}
-
-const EngineGroup *findGroup(const EnginesState &state, const std::string &key)
-{
-    const auto found = std::find_if(state.groups.begin(), state.groups.end(),
-                                    [&](const auto &group) { return group.key == key; });
-    return found == state.groups.end() ? nullptr : &*found;
-}
-
 const EngineGroup *groupOf(const EnginesState &state, const TargetId &target)
 {
     for (const EngineGroup &group : state.groups) {
@@ -213,17 +200,7 @@
 
     void operator()(const GroupClaimRead &event)
     {
-        const auto position = this->state.holds.find(event.key);
-        if (position == this->state.holds.end())
-            return;
-        GroupHold &hold = position->second;
-        hold.reading = false;
-        if (event.claim == hold.claim)
-            this->confirmHold(event, hold);
-        else if (hold.held)
-            this->loseHold(hold);
-        else if (this->now >= hold.notBefore)
-            this->writeClaim(event, hold);
+        takeClaimRead(this->state, event, this->now, this->actions);
     }
 
     void operator()(const GroupClaimUnread &event)
@@ -237,7 +214,7 @@
     {
         this->expireOrders();
         this->pollEngines();
-        this->readClaims();
+        readClaims(this->state, this->now, this->actions);
         this->askPeers();
         this->readDesired();
         this->expirePending();
@@ -258,7 +235,7 @@
         for (const EngineGroup &group : this->state.groups) {
             if (group.owner != this->state.settings.self)
                 continue;
-            this->keepHold(group.key, holds);
+            keepHold(this->state, group.key, this->now, holds);
             for (const Target &engine : group.engines)
                 this->keepRecord(engine.id, engines);
         }
@@ -268,20 +245,6 @@
         this->state.changed = true;
     }
 
-    void keepHold(const std::string &key, std::map<std::string, GroupHold> &holds)
-    {
-        const auto known = this->state.holds.find(key);
-        if (known != this->state.holds.end()) {
-            holds.insert(*known);
-            return;
-        }
-        GroupHold hold;
-        hold.claim = makeClaim(this->state);
-        hold.nextRead = this->now;
-        hold.notBefore = this->now;
-        holds.emplace(key, std::move(hold));
-    }
-
     void keepRecord(const TargetId &target, std::map<TargetId, EngineRecord> &engines)
     {
         const auto known = this->state.engines.find(target);
@@ -334,37 +297,7 @@
         const auto position =
                 group == nullptr ? this->state.holds.end() : this->state.holds.find(group->key);
         if (position != this->state.holds.end())
-            this->loseHold(position->second);
-    }
-
-    // The read after the write tells whether the claim is ours, also when the write's answer is
-    // lost.
-    void writeClaim(const GroupClaimRead &event, GroupHold &hold)
-    {
-        hold.reading = true;
-        hold.readSentAt = this->now;
-        this->actions.push_back(WriteGroupClaim{event.key, hold.claim, event.rowVersion});
-    }
-
-    // Two nodes that disagree about the members take turns, and do not fight at each read.
-    void loseHold(GroupHold &hold)
-    {
-        hold.held = false;
-        hold.claim = makeClaim(this->state);
-        hold.notBefore = this->now + 2 * this->state.settings.silenceLimit;
-    }
-
-    void confirmHold(const GroupClaimRead &event, GroupHold &hold)
-    {
-        hold.checkedAt = hold.readSentAt;
-        if (hold.held)
-            return;
-        const EngineGroup *group = findGroup(this->state, event.key);
-        const Service *service = findService(*this->state.configuration, group->model);
-        const bool checks = service != nullptr && service->checksFencing;
-        hold.held = true;
-        hold.fence = FencingNumber{event.rowVersion};
-        hold.usableFrom = checks ? this->now : this->now + this->state.settings.silenceLimit;
+            loseHold(this->state, position->second, this->now);
     }
 
     void learnDesired(const ServiceName &model, const DesiredWeights &learned)
@@ -441,20 +374,6 @@
         }
     }
 
-    void readClaims()
-    {
-        for (auto &[key, hold] : this->state.holds) {
-            if (hold.reading && this->now - hold.readSentAt < claimTimeout)
-                continue;
-            if (hold.nextRead > this->now)
-                continue;
-            hold.reading = true;
-            hold.readSentAt = this->now;
-            hold.nextRead = this->now + this->state.settings.claimCheckPeriod;
-            this->actions.push_back(ReadGroupClaim{key});
-        }
-    }
-
     // One owner at a time, in rotation over at most `ownersAsked`, which bounds the bytes.
     void askPeers()
     {
@@ -535,21 +454,6 @@
     return std::move(handler.actions);
 }
 
-bool isUsable(const EnginesState &state, const EngineGroup &group, Time now)
-{
-    const auto position = state.holds.find(group.key);
-    if (position == state.holds.end() || !position->second.held)
-        return false;
-    const GroupHold &hold = position->second;
-    if (now < hold.usableFrom)
-        return false;
-    const Service *service = findService(*state.configuration, group.model);
-    // Engines that check fencing refuse a holder that lost the group without knowing.
-    if (service != nullptr && service->checksFencing)
-        return true;
-    return now < hold.checkedAt + state.settings.silenceLimit;
-}
-
 Duration reportLimit(const EnginesState &state)
 {
     constexpr int missedPolls = 3;
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/entry/entry.hpp>
 
+#include <geraniumpulley/core/http_status.hpp>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -7,29 +9,19 @@
 namespace geraniumpulley::core {
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusNotFound = 404;
-constexpr std::uint32_t statusTooMany = 429;
-constexpr std::uint32_t statusServerError = 500;
-constexpr std::uint32_t statusBadGateway = 502;
-constexpr std::uint32_t statusUnavailable = 503;
-constexpr std::uint32_t statusGatewayTimeout = 504;
-constexpr std::uint32_t statusRequestTimeout = 408;
-constexpr std::uint32_t statusMisdirected = 421;
-
 // Requests of batches have no client; their tokens stay clear of those of the door.
 constexpr std::uint64_t firstScoreToken = std::uint64_t{1} << 62U;
 
 bool isSuccess(std::uint32_t status)
 {
-    return status >= statusOk && status < 300;
+    return status >= status::ok && status < status::firstRedirection;
 }
 
 // Statuses that tell a client that its request did not run.
 bool promisesNotRun(std::uint32_t status)
 {
-    return status == statusTooMany || status == statusUnavailable || status == statusRequestTimeout
-           || status == statusMisdirected;
+    return status == status::tooManyRequests || status == status::unavailable
+           || status == status::requestTimeout || status == status::misdirected;
 }
 
 std::uint32_t countOf(const std::map<TargetId, std::uint32_t> &counts, const TargetId &id)
@@ -83,18 +75,18 @@
             return;
         if (event.load)
             this->state.reported[attempt->target] = event.load->waiting;
-        this->noteHealth(*attempt, event.answer.status < statusServerError || event.notExecuted);
+        this->noteHealth(*attempt, event.answer.status < status::serverError || event.notExecuted);
         const auto position = this->state.requests.find(attempt->reply);
         if (attempt->cancelled || position == this->state.requests.end())
             return;
         EntryRequest &request = position->second;
-        if (event.notExecuted || event.answer.status == statusMisdirected)
+        if (event.notExecuted || event.answer.status == status::misdirected)
             return this->tryAfterRefusal(position);
         request.mayHaveRun = true;
         const bool isOwn = event.stamped && !event.encoded;
         if (!isOwn && isSuccess(event.answer.status))
             return this->tryAfterLoss(position);
-        const bool failed = event.answer.status >= statusServerError;
+        const bool failed = event.answer.status >= status::serverError;
         if (failed && request.mayRepeat && this->mayTry(request)) {
             request.failure = event.answer;
             return this->tryAfterLoss(position);
@@ -194,7 +186,7 @@
         entry.deadline =
                 this->now + entry.call->patience.value_or(this->state.settings.defaultPatience);
         if (directory == nullptr || !directory->routing)
-            return this->refuse(position, EntryVerdict::NoRoutingTable, statusUnavailable);
+            return this->refuse(position, EntryVerdict::NoRoutingTable, status::unavailable);
         const RoutingTable &routing = *directory->routing;
         const Route *route = findRoute(routing, entry.call->host, entry.call->target);
         const ServiceName *service =
@@ -202,7 +194,7 @@
                                  : pickService(*route, draw(this->state.random,
                                                             std::numeric_limits<int>::max()));
         if (service == nullptr)
-            return this->refuse(position, EntryVerdict::NoRoute, statusNotFound);
+            return this->refuse(position, EntryVerdict::NoRoute, status::notFound);
         entry.kind = route->kind;
         entry.mayRepeat = entry.mayRepeat || route->kind == RouteKind::Repeatable
                           || (route->kind == RouteKind::Stream && route->resumable);
@@ -314,16 +306,16 @@
         }
         const bool mayHaveRun = request.mayHaveRun || !request.open.empty();
         if (verdict == EntryVerdict::TimedOut && mayHaveRun)
-            return this->finish(position, {statusGatewayTimeout}, verdict, {});
+            return this->finish(position, {status::gatewayTimeout}, verdict, {});
         if (mayHaveRun)
-            return this->finish(position, {statusBadGateway}, EntryVerdict::Failed, {});
-        this->refuse(position, verdict, statusUnavailable);
+            return this->finish(position, {status::badGateway}, EntryVerdict::Failed, {});
+        this->refuse(position, verdict, status::unavailable);
     }
 
     void refuse(Requests::iterator position, EntryVerdict verdict, std::uint32_t status)
     {
         EntryAnswer answer{status};
-        if (status == statusUnavailable)
+        if (status == status::unavailable)
             answer.retryAfter = this->state.settings.retryAfter;
         this->finish(position, answer, verdict, {});
     }
@@ -334,7 +326,7 @@
     {
         EntryAnswer answer = event.answer;
         if (promisesNotRun(answer.status))
-            answer = {statusBadGateway};
+            answer = {status::badGateway};
         this->finish(position, std::move(answer), EntryVerdict::Served, target, event.stamp);
     }
 
@@ -366,7 +358,7 @@
         if (verdict == EntryVerdict::Served && isSuccess(answer.status) && !stamp.empty()) {
             ended.outcome = ScoreEnded::Outcome::Scored;
             ended.score = stamp;
-        } else if (verdict == EntryVerdict::Served && answer.status == statusServerError) {
+        } else if (verdict == EntryVerdict::Served && answer.status == status::serverError) {
             ended.outcome = ScoreEnded::Outcome::Failed;
         }
         this->actions.emplace_back(std::move(ended));
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -203,6 +203,7 @@
             return;
         Directory &next = state.published;
         next.routing = state.routing;
+        next.targetsKnown = state.targetsKnown;
         if (state.changed) {
             auto targets = std::make_shared<TargetMap>();
             for (const auto &[id, known] : state.targets)
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -102,6 +102,8 @@
             if (present.count(id.value) == 0)
                 missTarget(state, id, now);
         }
+        state.changed = state.changed || !state.targetsKnown;
+        state.targetsKnown = true;
     }
     if (read.table == FleetTable::Batches) {
         const std::size_t removed = std::erase_if(state.batches, [&](const auto &entry) {
--- a/packages/core/src/rollout.cpp
+++ b/packages/core/src/rollouts/rollout.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include "rollout_context.hpp"
 
--- a/packages/core/src/rollout_context.hpp
+++ b/packages/core/src/rollouts/rollout_context.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include <vector>
 
--- a/packages/core/src/sample.cpp
+++ b/packages/core/src/rollouts/sample.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/sample.hpp>
+#include <geraniumpulley/core/rollouts/sample.hpp>
 
 #include <xxhash.h>
 
--- a/packages/core/src/step_state.cpp
+++ b/packages/core/src/rollouts/step_state.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/step_state.hpp>
+#include <geraniumpulley/core/rollouts/step_state.hpp>
 
 #include <algorithm>
 #include <limits>
--- a/packages/core/tests/engine_world.hpp
+++ b/packages/core/tests/engine_world.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/engines.hpp>
+#include <geraniumpulley/core/engines/engines.hpp>
 
 #include <algorithm>
 #include <functional>
--- a/packages/core/tests/unit-admission.cpp
+++ b/packages/core/tests/unit-admission.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/admission.hpp>
+#include <geraniumpulley/core/calls/admission.hpp>
 
 #include <doctest/doctest.h>
 
--- a/packages/core/tests/unit-dispatch.cpp
+++ b/packages/core/tests/unit-dispatch.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/dispatch.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
 
 #include <doctest/doctest.h>
 
--- a/packages/core/tests/unit-lease_manager.cpp
+++ b/packages/core/tests/unit-lease_manager.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/lease_manager.hpp>
+#include <geraniumpulley/core/control/lease_manager.hpp>
 
 #include <doctest/doctest.h>
 
--- a/packages/core/tests/unit-placement.cpp
+++ b/packages/core/tests/unit-placement.cpp
@@ -1,4 +1,4 @@
-#include <geraniumpulley/core/placement.hpp>
+#include <geraniumpulley/core/rollouts/placement.hpp>
 
 #include <doctest/doctest.h>
 
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -7,6 +7,7 @@
 #include <geraniumpulley/runtime/clock.hpp>
 
 #include <boost/outcome/try.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <functional>
@@ -41,6 +42,12 @@
     return seeds;
 }
 
+// "127.0.0.1:0" with the port that the system chose.
+std::string withPort(const std::string &address, std::uint16_t port)
+{
+    return fmt::format("{}:{}", address.substr(0, address.rfind(':')), port);
+}
+
 // A process has no disk, so the start time is what tells its lives apart.
 std::uint64_t makeIncarnation()
 {
@@ -53,41 +60,49 @@
 {
     explicit Implementation(Settings settings) : settings(std::move(settings)) { }
 
-    // Sources of events stop before the duties that take them, parts after the duties use them.
+    // All threads of parts end before any part goes, because parts call each other.
     ~Implementation()
     {
         Parts &parts = this->parts;
         if (parts.timer)
             parts.timer->stop();
+        for (const auto *door : {&parts.callers, &parts.readiness, &parts.metricsDoor})
+            stopPart(*door);
+        for (const auto *caller : {&parts.targets, &parts.engines, &parts.storeCaller})
+            stopPart(*caller);
+        stopPart(parts.peers);
         parts.fleet.stop();
         parts.calls.stop();
         parts.batches.stop();
-        parts.callers.reset();
-        parts.readiness.reset();
-        parts.metricsDoor.reset();
-        parts.peers.reset();
-        parts.targets.reset();
-        parts.engines.reset();
-        parts.storeCaller.reset();
+    }
+
+    template<typename Part>
+    static void stopPart(const std::unique_ptr<Part> &part)
+    {
+        if (part)
+            part->stop();
     }
 
     core::Result<void> start()
     {
         Parts &parts = this->parts;
+        const std::uint64_t incarnation = makeIncarnation();
+        parts.timer = std::make_unique<runtime::TimerService>(incarnation);
+        BOOST_OUTCOME_TRY(this->openCallers());
         const core::Node self{{this->settings.node},
-                              this->settings.peersAddress,
+                              withPort(this->settings.peersAddress, parts.peers->port()),
                               this->settings.dataCentre,
-                              makeIncarnation()};
-        parts.timer = std::make_unique<runtime::TimerService>(self.incarnation);
-        BOOST_OUTCOME_TRY(this->openCallers());
+                              incarnation};
         BOOST_OUTCOME_TRY(this->openDoors());
         startCalls(parts, std::hash<std::string>{}(self.id.value) ^ self.incarnation);
         startBatches(parts, self);
         startFleet(parts, self, this->settings);
         parts.logger.write(
                 "started", field("node", self.id.value), field("incarnation", self.incarnation),
-                field("callers", this->settings.callersAddress), field("peers", self.address),
-                field("store", this->settings.storeAddress));
+                field("callers", withPort(this->settings.callersAddress, parts.callers->port())),
+                field("readiness",
+                      withPort(this->settings.readinessAddress, parts.readiness->port())),
+                field("peers", self.address), field("store", this->settings.storeAddress));
         return boost::outcome_v2::success();
     }
 
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -2,7 +2,7 @@
 
 #include "parts.hpp"
 
-#include <geraniumpulley/core/view.hpp>
+#include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/entry/settings.hpp>
 
 #include <cstdint>
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -3,6 +3,7 @@
 #include "table_names.hpp"
 
 #include <geraniumpulley/codec/batch_rows.hpp>
+#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/directory_rows.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -17,7 +18,6 @@
 
 using runtime::field;
 
-constexpr std::uint32_t statusOk = 200;
 constexpr core::Duration beatLimit = std::chrono::milliseconds(1000);
 constexpr core::Duration followMargin = std::chrono::milliseconds(900); // Beyond the asked wait.
 constexpr core::Duration leaseLimit = std::chrono::milliseconds(1200);
@@ -163,7 +163,7 @@
     void onFollowed(core::FleetTable table, const StoreReply &reply)
     {
         const bool answered = reply.outcome == codec::RelayOutcome::Answered;
-        if (!answered || reply.status != statusOk)
+        if (!answered || reply.status != core::status::ok)
             return this->push(core::TableReadFailed{
                     table, answered && platform::isHistoryGone(reply.status)});
         auto rows = platform::decodeRows(reply.body);
@@ -196,7 +196,7 @@
                                  [this, sentAt = runtime::now()](StoreReply &&reply) {
                                      const bool done =
                                              reply.outcome == codec::RelayOutcome::Answered
-                                             && reply.status == statusOk;
+                                             && reply.status == core::status::ok;
                                      this->push(core::BeatWritten{sentAt, done});
                                  }});
     }
--- a/packages/entry/src/range_reader.cpp
+++ b/packages/entry/src/range_reader.cpp
@@ -1,5 +1,7 @@
 #include "range_reader.hpp"
 
+#include <geraniumpulley/core/http_status.hpp>
+
 #include <iterator>
 #include <memory>
 #include <utility>
@@ -7,8 +9,6 @@
 namespace geraniumpulley::entry {
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-
 using Done = std::function<void(std::optional<platform::Rows> &&)>;
 
 struct RangeReader : std::enable_shared_from_this<RangeReader>
@@ -27,7 +27,7 @@
 
     void onReply(const StoreReply &reply)
     {
-        if (reply.outcome != codec::RelayOutcome::Answered || reply.status != statusOk)
+        if (reply.outcome != codec::RelayOutcome::Answered || reply.status != core::status::ok)
             return this->done(std::nullopt);
         auto rows = platform::decodeRows(reply.body);
         if (!rows)
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -2,6 +2,7 @@
 
 #include "batch_store.hpp"
 
+#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
 
 #include <fmt/format.h>
@@ -14,11 +15,6 @@
 
 using runtime::field;
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusNotFound = 404;
-constexpr std::uint32_t statusTooLarge = 413;
-constexpr std::uint32_t statusUnavailable = 503;
-
 bool answerStatus(net::HttpDoor &door, core::ReplyToken token, std::uint32_t status,
                   std::string body = {})
 {
@@ -53,7 +49,7 @@
     if (request.body.size() > maxSubmittedBytes) {
         parts.logger.write("batch_too_large", field("bytes", request.body.size()),
                            field("most", maxSubmittedBytes));
-        return answerStatus(*parts.callers, token, statusTooLarge);
+        return answerStatus(*parts.callers, token, core::status::contentTooLarge);
     }
     auto order = platform::decodeSubmission(std::move(request));
     if (!order)
@@ -91,10 +87,12 @@
 bool routeReadiness(Parts &parts, const net::DoorRequest &request)
 {
     if (!platform::isReadinessQuestion(request))
-        return answerStatus(*parts.readiness, request.token, statusNotFound);
+        return answerStatus(*parts.readiness, request.token, core::status::notFound);
     const core::DirectoryPointer directory = parts.directory.get();
-    const bool isReady = !parts.draining && directory && directory->routing;
-    return answerStatus(*parts.readiness, request.token, isReady ? statusOk : statusUnavailable);
+    const bool isReady =
+            !parts.draining && directory && directory->routing && directory->targetsKnown;
+    return answerStatus(*parts.readiness, request.token,
+                        isReady ? core::status::ok : core::status::unavailable);
 }
 
 bool routeMetrics(Parts &parts, const net::DoorRequest &request)
@@ -104,7 +102,7 @@
     text += fmt::format("target_connections_opened {}\n", parts.targets->connectionsOpened());
     text += fmt::format("engine_connections_opened {}\n", parts.engines->connectionsOpened());
     text += fmt::format("peer_bytes {}\n", parts.peers->traffic());
-    return answerStatus(*parts.metricsDoor, request.token, statusOk, std::move(text));
+    return answerStatus(*parts.metricsDoor, request.token, core::status::ok, std::move(text));
 }
 
 } // namespace geraniumpulley::entry
--- a/packages/net/include/geraniumpulley/net/http_caller.hpp
+++ b/packages/net/include/geraniumpulley/net/http_caller.hpp
@@ -101,6 +101,9 @@
     /// \return connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
+    /// Ends the thread; no callback runs after it returns, and what is sent later fails at once.
+    void stop();
+
 private:
     struct Implementation;
     explicit HttpCaller(std::unique_ptr<Implementation> implementation);
--- a/packages/net/include/geraniumpulley/net/http_door.hpp
+++ b/packages/net/include/geraniumpulley/net/http_door.hpp
@@ -108,6 +108,9 @@
     /// \return false when that lasts longer than `limit`.
     bool waitUntilWritten(core::Duration limit);
 
+    /// Ends the thread; no callback runs after it returns, and what is sent later fails at once.
+    void stop();
+
 private:
     struct Implementation;
     explicit HttpDoor(std::unique_ptr<Implementation> implementation);
--- a/packages/net/include/geraniumpulley/net/peer_link.hpp
+++ b/packages/net/include/geraniumpulley/net/peer_link.hpp
@@ -76,6 +76,9 @@
     /// its stream gone is dropped, and the sender sees `Lost` at its deadline.
     void reply(core::ReplyToken token, std::string body);
 
+    /// Ends the thread; no callback runs after it returns, and what is sent later fails at once.
+    void stop();
+
 private:
     struct Implementation;
     explicit PeerLink(std::unique_ptr<Implementation> implementation);
--- a/packages/net/src/http_caller.cpp
+++ b/packages/net/src/http_caller.cpp
@@ -346,4 +346,9 @@
     return this->implementation->opened;
 }
 
+void HttpCaller::stop()
+{
+    this->implementation->loop.stop();
+}
+
 } // namespace geraniumpulley::net
--- a/packages/net/src/http_door.cpp
+++ b/packages/net/src/http_door.cpp
@@ -463,4 +463,9 @@
     return door.settled.wait_for(lock, limit, [&door] { return door.owedAnswers == 0; });
 }
 
+void HttpDoor::stop()
+{
+    this->implementation->loop.stop();
+}
+
 } // namespace geraniumpulley::net
--- a/packages/net/src/peer_link.cpp
+++ b/packages/net/src/peer_link.cpp
@@ -306,4 +306,9 @@
             this->implementation->loop.inbox().tryPush(ReplyOrder{token, std::move(body)}));
 }
 
+void PeerLink::stop()
+{
+    this->implementation->loop.stop();
+}
+
 } // namespace geraniumpulley::net
--- a/packages/node/include/geraniumpulley/node/settings.hpp
+++ b/packages/node/include/geraniumpulley/node/settings.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/configuration.hpp>
+#include <geraniumpulley/core/configuration/configuration.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <string>
--- a/packages/node/src/lease_actions.hpp
+++ b/packages/node/src/lease_actions.hpp
@@ -2,7 +2,7 @@
 
 #include "parts.hpp"
 
-#include <geraniumpulley/core/lease_manager.hpp>
+#include <geraniumpulley/core/control/lease_manager.hpp>
 
 namespace geraniumpulley::node {
 
--- a/packages/node/src/parts.hpp
+++ b/packages/node/src/parts.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <geraniumpulley/core/control.hpp>
-#include <geraniumpulley/core/dispatch.hpp>
-#include <geraniumpulley/core/engines.hpp>
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
+#include <geraniumpulley/core/control/control.hpp>
+#include <geraniumpulley/core/engines/engines.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 #include <geraniumpulley/net/http_caller.hpp>
 #include <geraniumpulley/net/http_door.hpp>
 #include <geraniumpulley/net/peer_link.hpp>
--- a/packages/runtime/include/geraniumpulley/runtime/duty.hpp
+++ b/packages/runtime/include/geraniumpulley/runtime/duty.hpp
@@ -32,11 +32,15 @@
     BoundedRing<Message> &inbox() { return this->ring; }
 
     /// Starts the thread. Call it once.
-    void start(const std::string &name, Handler handler)
+    ///
+    /// The handler, with all that it refers to, is kept until the duty itself goes: parts may call
+    /// back into it after the thread has ended.
+    void start(const std::string &name, Handler newHandler)
     {
-        this->thread = std::thread([this, name, handle = std::move(handler)] {
+        this->handler = std::move(newHandler);
+        this->thread = std::thread([this, name] {
             nameThisThread(name);
-            this->run(handle);
+            this->run();
         });
     }
 
@@ -61,14 +65,14 @@
     }
 
 private:
-    void run(const Handler &handle)
+    void run()
     {
         while (auto message = this->ring.pop()) {
-            handle(std::move(*message));
+            this->handler(std::move(*message));
             // Handling may add to `own`; its length is bounded by what one message brings about.
             for (std::size_t i = 0; i < this->own.size(); ++i) {
                 Message ownMessage = std::move(this->own[i]);
-                handle(std::move(ownMessage));
+                this->handler(std::move(ownMessage));
             }
             this->own.clear();
         }
@@ -76,6 +80,7 @@
 
     BoundedRing<Message> ring;
     std::vector<Message> own; // Used on the duty's thread only.
+    Handler handler;
     std::thread thread;
 };
 
--- a/tests/live/fleet.cpp
+++ b/tests/live/fleet.cpp
@@ -1,7 +1,7 @@
 #include "fleet.hpp"
 
 #include <geraniumpulley/codec/operator_messages.hpp>
-#include <geraniumpulley/core/claims.hpp>
+#include <geraniumpulley/core/calls/claims.hpp>
 
 #include <cpprest/http_client.h>
 #include <fmt/format.h>
--- /dev/null
+++ b/tests/live/unit-live_platform.cpp
@@ -0,0 +1,153 @@
+#include "platform_fleet.hpp"
+
+#include <cpprest/json.h>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+
+namespace {
+
+using live::HttpReply;
+
+constexpr std::size_t itemsOfBatch = 6;
+
+void startDeployment(live::PlatformFleet &fleet)
+{
+    REQUIRE(fleet.writeRow("op", "config", live::routingText(3)));
+    fleet.startWorker("orders-1", "orders", "");
+    fleet.startWorker("orders-2", "orders", "");
+    fleet.startWorker("engine-1", "engines", "m");
+    fleet.startWorker("engine-2", "engines", "m");
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.startNode(node);
+    REQUIRE(fleet.waitUntilReady());
+}
+
+// The results of a batch as a node lists them, from a position on.
+std::vector<std::string> readResults(live::PlatformFleet &fleet, const std::string &node,
+                                     const std::string &batch)
+{
+    const HttpReply reply = fleet.call(node, "GET", "/-/lots/" + batch + "?after=0");
+    std::vector<std::string> results;
+    if (reply.status != 200)
+        return results;
+    const web::json::value body = web::json::value::parse(reply.body);
+    for (const web::json::value &result : body.at("results").as_array())
+        results.push_back(result.serialize());
+    return results;
+}
+
+bool waitForBatch(live::PlatformFleet &fleet, const std::string &node, const std::string &batch)
+{
+    return fleet.waitFor([&] { return readResults(fleet, node, batch).size() == itemsOfBatch; });
+}
+
+bool submit(live::PlatformFleet &fleet, const std::string &node, const std::string &batch)
+{
+    return fleet.waitFor([&] {
+        return fleet.call(node, "POST", "/samples/" + batch, batch, live::batchText(batch)).status
+               == 202;
+    });
+}
+
+} // namespace
+
+TEST_CASE("a calm day on the platform, as its clients see it, is as the golden session says")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    std::string session;
+    const auto note = [&](const std::string &what, const HttpReply &reply) {
+        session += fmt::format("{}\n  {} {}\n", what, reply.status, reply.body);
+    };
+    note("lookup at a", fleet.call("node-a", "POST", "/lookup/17", "id-1", "plain"));
+    note("lookup at b", fleet.call("node-b", "POST", "/lookup/18?page=2", "id-2", "plain"));
+    note("booking at c", fleet.call("node-c", "POST", "/book/19", "id-3", "A1 roll"));
+    note("no route", fleet.call("node-a", "POST", "/none/1", "id-4", "x"));
+    note("batch at a", fleet.call("node-a", "POST", "/samples/b1", "b1", live::batchText("b1")));
+    note("the same batch at b",
+         fleet.call("node-b", "POST", "/samples/b1", "b1", live::batchText("b1")));
+    note("body of an item at c", fleet.call("node-c", "GET", "/-/items/b1?id=b1-4"));
+    REQUIRE(waitForBatch(fleet, "node-c", "b1"));
+    std::vector<std::string> results = readResults(fleet, "node-b", "b1");
+    CHECK(results == readResults(fleet, "node-a", "b1"));
+    std::sort(results.begin(), results.end()); // Their order is that in which they were finished.
+    for (const std::string &result : results)
+        session += "  " + result + "\n";
+    note("end at b", fleet.call("node-b", "DELETE", "/-/lots/b1"));
+    note("end again at c", fleet.call("node-c", "DELETE", "/-/lots/b1"));
+    note("unknown batch", fleet.call("node-a", "GET", "/-/lots/none"));
+    note("malformed batch", fleet.call("node-a", "POST", "/samples/b2", "b2", "{}"));
+
+    std::ifstream file(std::string(SOURCE_DIRECTORY) + "/tests/golden/platform_calm_day.txt");
+    const std::string golden{std::istreambuf_iterator<char>(file), {}};
+    CHECK(session == golden);
+}
+
+TEST_CASE("on the platform a batch is whole though the node that took it is killed")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    REQUIRE(submit(fleet, "node-a", "b1"));
+    fleet.process("node-a").signal(SIGKILL);
+    CHECK(waitForBatch(fleet, "node-b", "b1"));
+    const std::vector<std::string> atB = readResults(fleet, "node-b", "b1");
+    CHECK(atB == readResults(fleet, "node-c", "b1"));
+    CHECK(atB.size() == itemsOfBatch);
+}
+
+TEST_CASE("on the platform a stopping node hands its batches over and answers what it has taken")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    REQUIRE(submit(fleet, "node-a", "b1"));
+    fleet.process("node-a").signal(SIGTERM);
+    CHECK(waitForBatch(fleet, "node-b", "b1"));
+    int status = -1;
+    REQUIRE(fleet.waitFor([&] { return fleet.process("node-a").hasEnded(status); }));
+    CHECK(status == 0);
+}
+
+TEST_CASE("on the platform everything is served again after all nodes lost power")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    REQUIRE(submit(fleet, "node-a", "b1"));
+    REQUIRE(submit(fleet, "node-b", "b2"));
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.process(node).signal(SIGKILL);
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.startNode(node);
+    REQUIRE(fleet.waitUntilReady());
+    CHECK(waitForBatch(fleet, "node-c", "b1"));
+    CHECK(waitForBatch(fleet, "node-a", "b2"));
+    CHECK(fleet.call("node-b", "POST", "/lookup/1", "id-1", "x").status == 200);
+}
+
+TEST_CASE("on the platform a new routing table and new weights are followed")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    std::string routing = live::routingText(9);
+    routing.replace(routing.find("/book/"), 6, "/order/");
+    REQUIRE(fleet.writeRow("op", "config", routing));
+    REQUIRE(fleet.waitFor([&] {
+        return fleet.call("node-a", "POST", "/order/1", "id-1", "x").status == 200
+               && fleet.call("node-a", "POST", "/book/1", "id-2", "x").status == 404;
+    }));
+    REQUIRE(fleet.writeRow("op", "version/m", R"({"model":"m","version":2})"));
+    CHECK(fleet.waitFor([&] {
+        for (const char *node : {"node-a", "node-b", "node-c"}) {
+            if (!live::loggedField(fleet.process(node).lines(), "weights_ordered", "version")
+                         .empty())
+                return true;
+        }
+        return false;
+    }));
+    REQUIRE(submit(fleet, "node-b", "b1"));
+    CHECK(waitForBatch(fleet, "node-c", "b1"));
+}
--- a/tests/scenarios/fake_store.hpp
+++ b/tests/scenarios/fake_store.hpp
@@ -3,7 +3,7 @@
 #include "simulation.hpp"
 
 #include <geraniumpulley/codec/platform_messages.hpp>
-#include <geraniumpulley/core/lease_manager.hpp>
+#include <geraniumpulley/core/control/lease_manager.hpp>
 
 #include <map>
 #include <optional>
--- a/tests/scenarios/world.hpp
+++ b/tests/scenarios/world.hpp
@@ -4,9 +4,9 @@
 #include "process.hpp"
 #include "simulation.hpp"
 
-#include <geraniumpulley/core/control.hpp>
-#include <geraniumpulley/core/dispatch.hpp>
-#include <geraniumpulley/core/rollout.hpp>
+#include <geraniumpulley/core/calls/dispatch.hpp>
+#include <geraniumpulley/core/control/control.hpp>
+#include <geraniumpulley/core/rollouts/rollout.hpp>
 
 #include <functional>
 #include <map>
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -109,6 +109,7 @@
         if (active.mode != "down")
             reply = this->run(request);
         answer.status = reply.status;
+        answer.headers.insert(answer.headers.end(), reply.headers.begin(), reply.headers.end());
         answer.body = std::move(reply.body);
         answer.drop = active.mode == "down" || active.mode == "lose_answer";
         if (reply.next)
@@ -191,6 +192,10 @@
         return standin::makePlainService();
     if (role == "scorer")
         return standin::makeScorer();
+    if (role == "rows")
+        return standin::makeRowStore();
+    if (role == "worker")
+        return standin::makeWorker();
     return {};
 }
 
@@ -229,7 +234,7 @@
 {
     runtime::blockStopSignals();
     cxxopts::Options options("geraniumpulley_standin", "Stand-in for a system outside.");
-    options.add_options()("role", "platform, engine, plain or scorer",
+    options.add_options()("role", "platform, engine, plain, scorer, rows or worker",
                           cxxopts::value<std::string>())(
             "address", "ip:port to listen on",
             cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
--- /dev/null
+++ b/tests/standins/row_store.cpp
@@ -0,0 +1,150 @@
+#include "standin.hpp"
+
+#include <cpprest/json.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <tuple>
+#include <utility>
+
+namespace standin {
+namespace {
+
+using geraniumpulley::core::Duration;
+using geraniumpulley::net::DoorRequest;
+using web::json::value;
+
+// A feed without changes is answered after this time at most, whatever it asks for.
+constexpr Duration longestWait = std::chrono::milliseconds(100);
+
+using RowKey = std::tuple<std::string, std::string, std::string>; // Table, part, key.
+
+struct StoredRow
+{
+    std::string text; // As base64.
+    std::uint64_t version = 0;
+    bool removed = false;
+};
+
+RowKey keyOf(const value &row)
+{
+    return {row.at("table").as_string(), row.at("part").as_string(), row.at("key").as_string()};
+}
+
+value encodeRow(const RowKey &key, const StoredRow &row)
+{
+    value encoded = value::object();
+    encoded["table"] = value::string(std::get<0>(key));
+    encoded["part"] = value::string(std::get<1>(key));
+    encoded["key"] = value::string(std::get<2>(key));
+    encoded["ver"] = value::number(row.version);
+    if (row.removed)
+        encoded["tombstone"] = value::boolean(true);
+    else
+        encoded["value"] = value::string(row.text);
+    return encoded;
+}
+
+struct RowStore
+{
+    std::map<RowKey, StoredRow> rows;
+    std::uint64_t version = 0;
+    std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+
+    Reply serve(const DoorRequest &request)
+    {
+        const std::string path = pathOf(request);
+        if (path == "/-/rows-tx")
+            return this->transact(value::parse(request.body));
+        if (path == "/-/rows-get")
+            return this->read(request);
+        if (path == "/-/rows-feed")
+            return this->follow(request);
+        return {404, "{}", {}};
+    }
+
+    std::uint64_t versionOf(const RowKey &key) const
+    {
+        const auto position = this->rows.find(key);
+        return position == this->rows.end() || position->second.removed ? 0
+                                                                        : position->second.version;
+    }
+
+    Reply answer(std::uint32_t status, std::vector<value> found = {}) const
+    {
+        value body = value::object();
+        body["rows"] = value::array(std::move(found));
+        body["ver"] = value::number(this->version);
+        const auto age = std::chrono::steady_clock::now() - this->start;
+        body["now_ms"] = value::number(static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1));
+        body["truncated"] = value::boolean(false);
+        return {status, body.serialize(), {}};
+    }
+
+    Reply transact(const value &transaction)
+    {
+        bool holds = true;
+        std::vector<value> found;
+        for (const value &condition : transaction.at("expected").as_array()) {
+            const RowKey key = keyOf(condition);
+            const std::uint64_t current = this->versionOf(key);
+            holds = holds && current == condition.at("ver").as_number().to_uint64();
+            if (current != 0)
+                found.push_back(encodeRow(key, this->rows.at(key)));
+        }
+        if (!holds)
+            return this->answer(412, std::move(found));
+        ++this->version;
+        for (const value &write : transaction.at("writes").as_array())
+            this->rows[keyOf(write)] = {write.at("value").as_string(), this->version, false};
+        for (const value &row : transaction.at("remove").as_array())
+            this->rows[keyOf(row)] = {{}, this->version, true};
+        return this->answer(200);
+    }
+
+    Reply read(const DoorRequest &request) const
+    {
+        const std::string table = queryOf(request, "table");
+        const std::string part = queryOf(request, "part");
+        const std::string from = queryOf(request, "from");
+        const std::string to = queryOf(request, "to");
+        std::vector<value> found;
+        for (const auto &[key, row] : this->rows) {
+            const auto &[rowTable, rowPart, rowKey] = key;
+            const bool isInside = rowTable == table && rowPart == part && rowKey >= from
+                                  && (to.empty() || rowKey < to) && !row.removed;
+            if (isInside)
+                found.push_back(encodeRow(key, row));
+        }
+        return this->answer(200, std::move(found));
+    }
+
+    Reply follow(const DoorRequest &request) const
+    {
+        const std::string table = queryOf(request, "table");
+        const std::uint64_t after = std::stoull(queryOf(request, "after"));
+        std::vector<value> found;
+        for (const auto &[key, row] : this->rows) {
+            if (std::get<0>(key) == table && row.version > after)
+                found.push_back(encodeRow(key, row));
+        }
+        Reply reply = this->answer(200, std::move(found));
+        const auto wait = std::chrono::milliseconds(std::stoull(queryOf(request, "wait_ms")));
+        if (reply.body.find("\"rows\":[]") != std::string::npos)
+            reply.delay = std::min<Duration>(wait, longestWait);
+        return reply;
+    }
+};
+
+} // namespace
+
+Service makeRowStore()
+{
+    auto store = std::make_shared<RowStore>();
+    return [store](const DoorRequest &request) { return store->serve(request); };
+}
+
+} // namespace standin
--- a/tests/standins/standin.hpp
+++ b/tests/standins/standin.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 /// Stand-ins for the systems outside: they keep ledgers and can be told to fail.
 namespace standin {
@@ -19,6 +20,7 @@
     /// sent.
     std::function<Reply()> next = {};
     bool cut = false; ///< Cuts the connection in place of this part.
+    std::vector<geraniumpulley::net::HttpHeader> headers = {};
 };
 
 /// Serves one request; runs on one thread, so it needs no locks.
@@ -28,6 +30,10 @@
 Service makeEngine();
 Service makePlainService();
 Service makeScorer();
+/// The table service of the users' platform.
+Service makeRowStore();
+/// A worker of the users' platform: a model engine and a plain service in one.
+Service makeWorker();
 
 /// \return the part of a request's target before the query.
 std::string pathOf(const geraniumpulley::net::DoorRequest &request);
