--- a/packages/codec/include/geraniumpulley/codec/batch_rows.hpp
+++ b/packages/codec/include/geraniumpulley/codec/batch_rows.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// Values of the rows that this system keeps for itself (MessagePack). The rows' keys and versions
 /// belong to whoever reads them.
@@ -40,6 +41,18 @@
 std::string encodeSubmitted(const SubmittedBody &submitted);
 core::Result<SubmittedBody> decodeSubmitted(const std::string &bytes);
 
+/// A row of the store as one node passes it on to another.
+struct RowCopy
+{
+    core::FleetTable table = core::FleetTable::Routing;
+    std::string key;
+    std::string value;
+    core::RowVersion version{};
+};
+
+std::string encodeCopies(const std::vector<RowCopy> &rows);
+core::Result<std::vector<RowCopy>> decodeCopies(const std::string &bytes);
+
 /// A call to the store that another node makes for one that cannot reach it.
 struct RelayedCall
 {
--- a/packages/codec/src/batch_rows.cpp
+++ b/packages/codec/src/batch_rows.cpp
@@ -23,12 +23,15 @@
         std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, bool>;
 using LeaseWire = std::tuple<std::string, std::uint64_t>;
 using SubmittedWire = std::tuple<std::string, std::string, std::string>;
+using RowCopyWire = std::tuple<int, std::string, std::string, std::uint64_t>;
+using RowCopiesWire = std::tuple<std::vector<RowCopyWire>>;
 using RelayedCallWire = std::tuple<std::string, std::string, std::string, std::int64_t>;
 using RelayedReplyWire = std::tuple<int, std::uint32_t, std::string>;
 
 std::vector<std::uint64_t> toWire(const std::vector<core::WeightVersion> &versions)
 {
     std::vector<std::uint64_t> numbers;
+    numbers.reserve(versions.size());
     for (const core::WeightVersion version : versions)
         numbers.push_back(core::number(version));
     return numbers;
@@ -37,6 +40,7 @@
 std::vector<core::WeightVersion> fromWire(const std::vector<std::uint64_t> &numbers)
 {
     std::vector<core::WeightVersion> versions;
+    versions.reserve(numbers.size());
     for (const std::uint64_t number : numbers)
         versions.push_back(core::WeightVersion{number});
     return versions;
@@ -139,6 +143,32 @@
     return SubmittedBody{std::move(host), std::move(path), std::move(body)};
 }
 
+std::string encodeCopies(const std::vector<RowCopy> &rows)
+{
+    std::vector<RowCopyWire> wire;
+    wire.reserve(rows.size());
+    for (const RowCopy &row : rows)
+        wire.emplace_back(static_cast<int>(row.table), row.key, row.value,
+                          static_cast<std::uint64_t>(row.version));
+    return pack(RowCopiesWire{std::move(wire)});
+}
+
+core::Result<std::vector<RowCopy>> decodeCopies(const std::string &bytes)
+{
+    auto wire = unpack<RowCopiesWire>(bytes);
+    if (!wire)
+        return wire.error();
+    std::vector<RowCopy> rows;
+    rows.reserve(std::get<0>(wire.value()).size());
+    for (auto &[table, key, value, version] : std::get<0>(wire.value())) {
+        if (table < 0 || table >= static_cast<int>(core::fleetTableCount))
+            return make_error_code(Errc::WrongShape);
+        rows.push_back({static_cast<core::FleetTable>(table), std::move(key), std::move(value),
+                        core::RowVersion{version}});
+    }
+    return rows;
+}
+
 std::string encodeRelay(const RelayedCall &call)
 {
     return pack(RelayedCallWire{call.method, call.target, call.body, call.timeLeft.count()});
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -153,7 +153,8 @@
     std::string requestId;
     std::uint32_t attempts = 0;
     ConfigurationVersion routing{};
-    std::optional<TargetId> target;
+    std::optional<TargetId> target; ///< That answered, or was tried last.
+    Duration after{}; ///< Since the request arrived.
 };
 struct StreamHead
 {
@@ -218,6 +219,7 @@
     Time askedAt{};
     std::set<OperationId> open; ///< Attempts under way.
     std::set<TargetId> tried;
+    std::optional<TargetId> lastTarget;
     std::uint32_t attempts = 0; ///< That may have run.
     std::uint32_t refusals = 0;
     bool mayHaveRun = false;
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -71,6 +71,11 @@
     FleetTable table = FleetTable::Routing;
     bool historyGone = false;
 };
+/// Rows of routing and targets as another node last read them.
+struct PeerTablesHeard
+{
+    std::vector<TableRead> tables;
+};
 struct BeatWritten
 {
     Time sentAt{};
@@ -102,9 +107,9 @@
 {
 };
 
-using FleetEvent =
-        std::variant<TableRead, TableReadFailed, BeatWritten, OrdersLeaseWritten, EngineStateHeard,
-                     WeightOrderReplied, ClockSuspended, FleetDraining, FleetTick>;
+using FleetEvent = std::variant<TableRead, TableReadFailed, PeerTablesHeard, BeatWritten,
+                                OrdersLeaseWritten, EngineStateHeard, WeightOrderReplied,
+                                ClockSuspended, FleetDraining, FleetTick>;
 
 // Actions
 
@@ -118,6 +123,10 @@
     RowVersion after{};
     Duration wait{};
 };
+/// Asks another node for its copy of the tables that this one has not been able to read yet.
+struct AskPeerTables
+{
+};
 struct WriteBeat
 {
     NodeBeat beat;
@@ -135,7 +144,7 @@
     bool routesChanged = false; ///< More than heartbeats differs from the last one.
 };
 
-using FleetAction = std::variant<ReadTable, FollowTable, WriteBeat, WriteOrdersLease,
+using FleetAction = std::variant<ReadTable, FollowTable, AskPeerTables, WriteBeat, WriteOrdersLease,
                                  AskEngineState, PlaceWeightOrder, PublishDirectory>;
 
 struct FleetSettings
@@ -152,6 +161,7 @@
     Duration takeoverStep = std::chrono::milliseconds(700); ///< For each node ranked before.
     /// After a write of the lease that failed; by then the feed shows who has it.
     Duration leaseRetryDelay = std::chrono::milliseconds(500);
+    Duration peerAskPeriod = std::chrono::milliseconds(400); ///< Of a node that knows no tables.
 };
 
 struct KnownTarget
@@ -166,26 +176,27 @@
     std::array<TableFollower, fleetTableCount> followers;
     Presence presence;
     std::uint64_t beats = 0;
-    bool beating = false; ///< A heartbeat is under way.
     Time nextBeat{};
     Time ownershipKnownUntil{};
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRow{};
     std::map<TargetId, KnownTarget> targets;
-    bool targetsKnown = false;
+    Time nextPeerAsk{};
     WeightMap desiredWeights;
     BatchMap batches;
-    bool batchesKnown = false;
     OrdersLease lease;
-    bool leaseWriting = false;
     Time leaseRetryAt{};
-    std::optional<Time> leaseFreeSince;
     Time ordersAllowedFrom{};
     WeightOrders orders;
+    Directory published; ///< Its parts are kept while they do not change.
+    std::optional<Time> leaseFreeSince;
     std::optional<Time> targetsFailedAt; ///< When the last read of the targets failed.
     std::optional<Duration> storeClockOffset;
+    bool beating = false; ///< A heartbeat is under way.
+    bool leaseWriting = false;
+    bool targetsKnown = false;
+    bool batchesKnown = false;
     bool draining = false;
-    Directory published; ///< Its parts are kept while they do not change.
     bool changed = false; ///< Something other than heartbeats differs from `published`.
     bool presenceChanged = false;
 };
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 #include <utility>
 
@@ -178,6 +179,7 @@
 void abandonRun(BatchContext &context, OperationId run, RunCause cause, Duration targetPause)
 {
     const FoundRun found = findRun(context, run);
+    assert(found.record != nullptr);
     context.state.engines[found.record->target].notBefore = context.now + targetPause;
     wait(*found.item, cause, context.now);
     cancelRun(context, run);
@@ -203,6 +205,7 @@
 bool takeVersion(BatchContext &context, OperationId run, WeightVersion version)
 {
     const FoundRun found = findRun(context, run);
+    assert(found.record != nullptr);
     found.record->version = version;
     found.record->hasVersion = true;
     const BatchOrder &order = *found.batch->order;
@@ -368,6 +371,7 @@
     }
     for (const OperationId run : slow) {
         const FoundRun found = findRun(context, run);
+        assert(found.record != nullptr);
         const Route *route = routeOf(context, *found.batch->order);
         const ServiceName *service = route == nullptr ? nullptr : pickService(*route, 0);
         if (service == nullptr)
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -91,7 +91,7 @@
             request.failure = event.answer;
             return this->tryAfterLoss(position);
         }
-        this->pass(position, event, attempt->target);
+        this->pass(position, event);
     }
 
     void operator()(const StreamOpened &event)
@@ -229,6 +229,7 @@
         ++request.attempts;
         request.open.insert(operation);
         request.tried.insert(target->id);
+        request.lastTarget = target->id;
         ++this->state.load[target->id];
         noteSent(this->state.health[target->id], this->now);
         this->state.attempts.emplace(operation,
@@ -302,13 +303,13 @@
         }
         if (request.failure) {
             const EntryAnswer failure = std::move(*request.failure);
-            return this->finish(position, failure, EntryVerdict::Served, {});
+            return this->finish(position, failure, EntryVerdict::Served);
         }
         const bool mayHaveRun = request.mayHaveRun || !request.open.empty();
         if (verdict == EntryVerdict::TimedOut && mayHaveRun)
-            return this->finish(position, {status::gatewayTimeout}, verdict, {});
+            return this->finish(position, {status::gatewayTimeout}, verdict);
         if (mayHaveRun)
-            return this->finish(position, {status::badGateway}, EntryVerdict::Failed, {});
+            return this->finish(position, {status::badGateway}, EntryVerdict::Failed);
         this->refuse(position, verdict, status::unavailable);
     }
 
@@ -317,21 +318,21 @@
         EntryAnswer answer{status};
         if (status == status::unavailable)
             answer.retryAfter = this->state.settings.retryAfter;
-        this->finish(position, answer, verdict, {});
+        this->finish(position, answer, verdict);
     }
 
     // A target's own answer. A failure that promises "not run" without the target's word for it
     // must not reach the client as such a promise.
-    void pass(Requests::iterator position, const AttemptAnswered &event, const TargetId &target)
+    void pass(Requests::iterator position, const AttemptAnswered &event)
     {
         EntryAnswer answer = event.answer;
         if (promisesNotRun(answer.status))
             answer = {status::badGateway};
-        this->finish(position, std::move(answer), EntryVerdict::Served, target, event.stamp);
+        this->finish(position, std::move(answer), EntryVerdict::Served, event.stamp);
     }
 
     void finish(Requests::iterator position, EntryAnswer answer, EntryVerdict verdict,
-                std::optional<TargetId> target, const std::string &stamp = {})
+                const std::string &stamp = {})
     {
         const EntryRequest &request = position->second;
         if (request.score) {
@@ -341,9 +342,9 @@
                     this->state.directory && this->state.directory->routing
                             ? this->state.directory->routing->version
                             : ConfigurationVersion{};
-            this->actions.emplace_back(AnswerEntry{position->first, std::move(answer), verdict,
-                                                   request.call->requestId, request.attempts,
-                                                   routing, std::move(target)});
+            this->actions.emplace_back(AnswerEntry{
+                    position->first, std::move(answer), verdict, request.call->requestId,
+                    request.attempts, routing, request.lastTarget, this->now - request.askedAt});
         }
         this->close(position);
     }
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -47,6 +47,21 @@
             this->state.targetsFailedAt = this->now;
     }
 
+    // A copy may be older than the store, so it only fills what is not known at all.
+    void operator()(const PeerTablesHeard &event)
+    {
+        for (const TableRead &read : event.tables) {
+            const bool isKnown = read.table == FleetTable::Routing ? this->state.routing != nullptr
+                                                                   : this->state.targetsKnown;
+            if (isKnown || read.rows.empty())
+                continue;
+            applyRows(this->state, read, this->now);
+            if (read.table == FleetTable::Targets)
+                this->state.targetsKnown = true;
+            this->state.changed = true;
+        }
+    }
+
     void operator()(const BeatWritten &event)
     {
         this->state.beating = false;
@@ -107,6 +122,7 @@
     void advance()
     {
         this->readTables();
+        this->askPeers();
         this->beat();
         dropLapsed(this->state, this->now);
         this->advanceLease();
@@ -137,6 +153,18 @@
         }
     }
 
+    void askPeers()
+    {
+        FleetState &state = this->state;
+        const bool knowsAll = state.routing && state.targetsKnown;
+        const bool isFailing = this->follower(FleetTable::Routing).failures > 0
+                               || this->follower(FleetTable::Targets).failures > 0;
+        if (knowsAll || !isFailing || this->now < state.nextPeerAsk)
+            return;
+        state.nextPeerAsk = this->now + state.settings.peerAskPeriod;
+        this->actions.emplace_back(AskPeerTables{});
+    }
+
     void beat()
     {
         FleetState &state = this->state;
--- a/packages/core/tests/batch/batch_world.cpp
+++ b/packages/core/tests/batch/batch_world.cpp
@@ -95,7 +95,7 @@
     return std::uniform_real_distribution<>(0, 1)(this->random) < share;
 }
 
-void BatchWorld::deliver(std::size_t index, BatchEvent event)
+void BatchWorld::deliver(std::size_t index, const BatchEvent &event)
 {
     WorldNode &node = this->nodes[index];
     if (!node.up)
--- a/packages/core/tests/batch/batch_world.hpp
+++ b/packages/core/tests/batch/batch_world.hpp
@@ -101,7 +101,7 @@
     };
 
     void schedule(Duration after, std::function<void()> act);
-    void deliver(std::size_t node, BatchEvent event);
+    void deliver(std::size_t node, const BatchEvent &event);
     void deliverAfter(std::size_t node, Duration after, BatchEvent event);
     void perform(std::size_t node, const BatchAction &action);
     void start(std::size_t node);
--- a/packages/core/tests/fleet/unit-directory.cpp
+++ b/packages/core/tests/fleet/unit-directory.cpp
@@ -19,6 +19,7 @@
 std::vector<const FleetTarget *> pointers(const std::vector<FleetTarget> &targets)
 {
     std::vector<const FleetTarget *> result;
+    result.reserve(targets.size());
     for (const FleetTarget &target : targets)
         result.push_back(&target);
     return result;
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -193,8 +193,31 @@
     for (const char *id : {"a", "b", "c", "d"})
         nodes.push_back({{id}, "", "", 1});
     std::vector<std::size_t> ranks;
+    ranks.reserve(nodes.size());
     for (const Node &node : nodes)
         ranks.push_back(takeoverRank("key", nodes, node.id));
     std::sort(ranks.begin(), ranks.end());
     CHECK(ranks == std::vector<std::size_t>{0, 1, 2, 3});
 }
+
+TEST_CASE("a node that starts while the store is away learns routes and targets from another one")
+{
+    FleetWorld world;
+    CHECK(world.find<AskPeerTables>() == nullptr);
+    world.send(TableReadFailed{FleetTable::Routing, false});
+    REQUIRE(world.find<AskPeerTables>() != nullptr);
+    world.send(FleetTick{});
+    CHECK(world.find<AskPeerTables>() == nullptr);
+    TableRead routing{FleetTable::Routing, false, {routingRow(10, 3)}, {}, {}};
+    TableRead targets{FleetTable::Targets, false, {targetRow("a")}, {}, {}};
+    world.send(PeerTablesHeard{{routing, targets}});
+    const auto *published = world.find<PublishDirectory>();
+    REQUIRE(published != nullptr);
+    CHECK(published->directory->routing->version == ConfigurationVersion{3});
+    CHECK(published->directory->targetsKnown);
+    CHECK(published->directory->targets->size() == 1);
+    // What the store said later is not replaced by another node's copy.
+    world.read(FleetTable::Routing, true, {routingRow(12, 5)});
+    world.send(PeerTablesHeard{{routing, targets}});
+    CHECK(world.state.routing->version == ConfigurationVersion{5});
+}
--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -43,8 +43,8 @@
         return planOrders(this->orders, this->directory, now);
     }
 
-    std::optional<PlaceWeightOrder> hear(const TargetId &target, std::optional<EngineState> state,
-                                         Time now)
+    std::optional<PlaceWeightOrder> hear(const TargetId &target,
+                                         const std::optional<EngineState> &state, Time now)
     {
         return noteEngineState(this->orders, this->directory, target, state, FencingNumber{5}, now);
     }
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -168,11 +168,12 @@
 
     void perform(core::AnswerResults &&answer)
     {
-        if (answer.verdict != core::ReadVerdict::Found || !answer.results.empty())
+        if (answer.verdict != core::ReadVerdict::Found || !answer.results.empty()) {
             this->parts.logger.write("results_answered", field("batch", answer.batch.value),
                                      field("verdict", static_cast<int>(answer.verdict)),
                                      field("after", answer.after),
                                      field("results", answer.results.size()));
+        }
         this->parts.callers->answer(platform::encodeAnswer(answer));
     }
 
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -138,7 +138,8 @@
                 "call_answered", field("request", answer.requestId),
                 field("status", answer.answer.status), field("verdict", nameOf(answer.verdict)),
                 field("attempts", answer.attempts), field("routing", core::number(answer.routing)),
-                field("target", answer.target ? answer.target->value : "-"));
+                field("target", answer.target ? answer.target->value : "-"),
+                field("after_ms", answer.after.count() / 1000));
         this->parts.callers->answer(platform::encodeAnswer(std::move(answer)));
     }
 
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -120,8 +120,7 @@
         peerSettings.ringCapacity = ringCapacity;
         BOOST_OUTCOME_TRY(peers,
                           net::PeerLink::create(peerSettings, [&parts](net::PeerMessage &&message) {
-                              parts.store->relay(message);
-                              return true;
+                              return routePeer(parts, std::move(message));
                           }));
         parts.peers = std::move(peers);
         parts.store = std::make_unique<StoreLink>(
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -1,4 +1,5 @@
 #include "duties.hpp"
+#include "peer_paths.hpp"
 #include "range_reader.hpp"
 #include "table_names.hpp"
 
@@ -20,6 +21,7 @@
 
 constexpr core::Duration beatLimit = std::chrono::milliseconds(1000);
 constexpr core::Duration followMargin = std::chrono::milliseconds(900); // Beyond the asked wait.
+constexpr core::Duration peerLimit = std::chrono::milliseconds(500);
 constexpr core::Duration leaseLimit = std::chrono::milliseconds(1200);
 constexpr core::Duration engineLimit = std::chrono::milliseconds(800);
 // A jump of the boot clock against the monotonic one that is more than a hiccup.
@@ -172,9 +174,56 @@
         this->push(this->toTableRead(table, false, std::move(rows.value())));
     }
 
+    void perform(core::AskPeerTables &&)
+    {
+        std::string peer = this->parts.store->nextPeer();
+        if (peer.empty())
+            return;
+        this->parts.logger.write("tables_asked", field("peer", peer));
+        this->parts.peers->send({std::move(peer),
+                                 tablesPath,
+                                 {},
+                                 runtime::now() + peerLimit,
+                                 [this](net::PeerReply &&reply) {
+                                     if (reply.failure == net::SendFailure::None)
+                                         this->onCopies(reply.body);
+                                 }});
+    }
+
+    void onCopies(const std::string &body)
+    {
+        const auto copies = codec::decodeCopies(body);
+        if (!copies)
+            return this->parts.logger.write("tables_unreadable",
+                                            field("error", copies.error().message()));
+        core::PeerTablesHeard heard;
+        for (const core::FleetTable table :
+             {core::FleetTable::Routing, core::FleetTable::Targets}) {
+            platform::Rows rows;
+            for (const codec::RowCopy &copy : copies.value()) {
+                if (copy.table == table)
+                    rows.rows.push_back({{{}, {}, copy.key}, copy.value, copy.version, false});
+            }
+            heard.tables.push_back(this->toTableRead(table, false, std::move(rows)));
+        }
+        this->push(std::move(heard));
+    }
+
+    void keepCopies(core::FleetTable table, const platform::Rows &rows)
+    {
+        if (table != core::FleetTable::Routing && table != core::FleetTable::Targets)
+            return;
+        std::vector<codec::RowCopy> copies;
+        for (const platform::Row &row : rows.rows)
+            copies.push_back({table, row.name.key, row.value, row.version});
+        this->parts.tables.set(table, std::move(copies));
+    }
+
     // Runs on a thread of a part.
     core::TableRead toTableRead(core::FleetTable table, bool whole, platform::Rows &&rows)
     {
+        if (whole)
+            this->keepCopies(table, rows);
         core::TableRead read{table, whole, {}, rows.upTo, rows.clock};
         for (const platform::Row &row : rows.rows) {
             auto record = decodeRecord(table, row);
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -2,6 +2,7 @@
 
 #include "store_link.hpp"
 
+#include <geraniumpulley/codec/batch_rows.hpp>
 #include <geraniumpulley/core/batch/batch_duty.hpp>
 #include <geraniumpulley/core/entry/entry.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
@@ -15,9 +16,11 @@
 #include <geraniumpulley/runtime/timer_service.hpp>
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace geraniumpulley::entry {
 
@@ -45,6 +48,30 @@
     core::DirectoryPointer directory;
 };
 
+/// The tables as this node last read them whole, for nodes that cannot read them.
+class SharedTables
+{
+public:
+    void set(core::FleetTable table, std::vector<codec::RowCopy> rows)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->tables[table] = std::move(rows);
+    }
+
+    [[nodiscard]] std::vector<codec::RowCopy> all() const
+    {
+        const std::lock_guard lock(this->mutex);
+        std::vector<codec::RowCopy> rows;
+        for (const auto &[table, some] : this->tables)
+            rows.insert(rows.end(), some.begin(), some.end());
+        return rows;
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::map<core::FleetTable, std::vector<codec::RowCopy>> tables;
+};
+
 /// The parts that the duties of one process share.
 ///
 /// Decision threads never block on a part's ring, and parts may block on a decision ring, so no
@@ -55,6 +82,7 @@
     runtime::Logger logger;
     runtime::Metrics metrics;
     SharedDirectory directory;
+    SharedTables tables;
     runtime::Duty<core::FleetEvent> fleet{decisionRingCapacity};
     runtime::Duty<core::EntryEvent> calls{decisionRingCapacity};
     runtime::Duty<core::BatchEvent> batches{decisionRingCapacity};
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -1,6 +1,7 @@
 #include "routes.hpp"
 
 #include "batch_store.hpp"
+#include "peer_paths.hpp"
 
 #include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
@@ -84,6 +85,18 @@
         parts.metrics.count("departures_dropped");
 }
 
+bool routePeer(Parts &parts, net::PeerMessage &&message)
+{
+    if (message.path == storePath) {
+        parts.store->relay(message);
+        return true;
+    }
+    if (message.path != tablesPath)
+        return false;
+    parts.peers->reply(message.token, codec::encodeCopies(parts.tables.all()));
+    return true;
+}
+
 bool routeReadiness(Parts &parts, const net::DoorRequest &request)
 {
     if (!platform::isReadinessQuestion(request))
--- a/packages/entry/src/routes.hpp
+++ b/packages/entry/src/routes.hpp
@@ -11,6 +11,9 @@
 /// Tells the duties that a client has left before its answer.
 void noteClientLeft(Parts &parts, core::ReplyToken token);
 
+/// Serves a message of another node. \return false for a kind that is not known.
+bool routePeer(Parts &parts, net::PeerMessage &&message);
+
 /// Answers the balancer's question whether this node takes requests.
 bool routeReadiness(Parts &parts, const net::DoorRequest &request);
 
--- a/packages/entry/src/store_link.cpp
+++ b/packages/entry/src/store_link.cpp
@@ -1,5 +1,7 @@
 #include "store_link.hpp"
 
+#include "peer_paths.hpp"
+
 #include <geraniumpulley/runtime/clock.hpp>
 
 #include <memory>
@@ -10,7 +12,6 @@
 
 using runtime::field;
 
-constexpr const char *relayPath = "/store";
 constexpr core::Duration connectLimit = std::chrono::milliseconds(400);
 // A relayed call is cut short at its relay, so that the reply still comes in time.
 constexpr core::Duration relayMargin = std::chrono::milliseconds(30);
@@ -73,7 +74,7 @@
     const codec::RelayedCall call{std::move(request.call.method), std::move(request.call.target),
                                   std::move(request.call.body), request.limit - relayMargin};
     this->parts.metrics.count("store_calls_relayed");
-    this->parts.peers.send({std::move(peer), relayPath, codec::encodeRelay(call),
+    this->parts.peers.send({std::move(peer), storePath, codec::encodeRelay(call),
                             runtime::now() + request.limit,
                             [this, done = std::move(request.done)](net::PeerReply &&peerReply) {
                                 StoreReply reply;
--- a/packages/entry/src/store_link.hpp
+++ b/packages/entry/src/store_link.hpp
@@ -55,13 +55,15 @@
     void setPeers(std::vector<std::string> addresses);
     void setSeeds(std::vector<std::string> addresses);
 
+    /// \return the address of another node, a different one each time; empty when none is known.
+    std::string nextPeer();
+
 private:
     using Done = std::function<void(StoreReply &&)>;
 
     void sendDirect(StoreRequest &&request, bool mayRelay);
     void sendRelayed(StoreRequest &&request, std::string address);
     void callStore(const platform::StoreCall &call, core::Duration limit, Done done);
-    std::string nextPeer();
     void noteDirect(bool served);
     void noteRelayed(bool served);
 
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -81,11 +81,12 @@
 TEST_CASE("results keep the order of their positions")
 {
     platform::Transaction transaction;
-    for (std::size_t position = 0; position < 12; ++position)
+    for (std::size_t position = 0; position < 12; ++position) {
         entry::addChunks(
                 transaction, id, entry::resultPrefix, position,
                 codec::encodeResult(
                         {{std::to_string(position)}, core::ItemOutcome::Lost, "", {}, ""}));
+    }
     const auto results = entry::assembleResults(rowsOf(transaction));
     REQUIRE(results.has_value());
     for (std::size_t position = 0; position < 12; ++position)
--- a/packages/net/src/connection_pool.cpp
+++ b/packages/net/src/connection_pool.cpp
@@ -37,7 +37,7 @@
     return nullptr;
 }
 
-void ConnectionPool::keep(const std::string &address, std::shared_ptr<Connection> connection)
+void ConnectionPool::keep(const std::string &address, const std::shared_ptr<Connection> &connection)
 {
     auto &connections = this->idle[address];
     connection->stream.expires_never();
--- a/packages/net/src/connection_pool.hpp
+++ b/packages/net/src/connection_pool.hpp
@@ -35,7 +35,7 @@
 
     /// Keeps a connection until its idle time ends, its server closes it or bytes come that
     /// belong to no request.
-    void keep(const std::string &address, std::shared_ptr<Connection> connection);
+    void keep(const std::string &address, const std::shared_ptr<Connection> &connection);
 
     /// Closes all connections.
     void clear();
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -76,4 +76,6 @@
 wait "$node_pid"
 grep -q "event=drained in_time=true" "$work/node-b.log"
 
-echo "== all three steps came through"
+source scripts/demo_platform.sh
+
+echo "== all steps came through"
--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -59,11 +59,15 @@
 void PlatformFleet::startNode(const std::string &name)
 {
     const std::string path = this->directory + "/" + name + ".json";
+    std::string seeds;
+    for (const std::string &node : this->nodes)
+        seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ", ",
+                             loggedField(this->process(node).lines(), "started", "peers"));
     std::ofstream(path) << fmt::format(
             R"({{"interface": "platform", "node": "{}", "data_centre": "zone",
  "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0", "store": "{}",
- "seeds": [], "stop_limit_ms": 8000}})",
-            name, this->addresses.at("store"));
+ "seeds": [{}], "stop_limit_ms": 8000}})",
+            name, this->addresses.at("store"), seeds);
     this->start(name, {DAEMON_PROGRAM, "--settings", path}, "node");
     const std::vector<std::string> lines = this->process(name).lines();
     for (const char *door : {"callers", "readiness"})
@@ -148,13 +152,14 @@
 std::string batchText(const std::string &batch)
 {
     std::string items;
-    for (int i = 0; i < 6; ++i)
+    for (int i = 0; i < 6; ++i) {
         items += fmt::format(
                 R"({}{{"id":"{}-{}","path":"/samples/run","headers":{{"X-Model":"m"}},"body":"{}",)"
                 R"("tokens":9,"group":"{}","scorer":{{"id":"{}-s{}","host":"site.example",)"
                 R"("path":"/lookup/score","body":"eA=="}}}})",
                 i == 0 ? "" : ",", batch, i, toBase64("prompt " + std::to_string(i)), i / 3, batch,
                 i);
+    }
     return fmt::format(R"({{"step":1,"model":"m","min_version":1,"desired":2,"requests":[{}]}})",
                        items);
 }
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -151,3 +151,14 @@
     REQUIRE(submit(fleet, "node-b", "b1"));
     CHECK(waitForBatch(fleet, "node-c", "b1"));
 }
+
+TEST_CASE("on the platform a node that starts while the store is away serves calls")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    fleet.process("store").signal(SIGKILL);
+    fleet.startNode("node-d");
+    REQUIRE(fleet.waitUntilReady());
+    CHECK(fleet.call("node-d", "POST", "/lookup/1", "id-1", "x").status == 200);
+    CHECK(fleet.call("node-d", "POST", "/samples/b1", "b1", live::batchText("b1")).status == 503);
+}
