--- /dev/null
+++ b/packages/codec/tests/unit-batch_rows.cpp
@@ -0,0 +1,56 @@
+#include <geraniumpulley/codec/batch_rows.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace geraniumpulley;
+
+TEST_CASE("rows of batches come back as they were")
+{
+    const core::BatchHead head{{"b"}, {"node"}, 7, true, 2, core::Duration(5), core::RowVersion{9}};
+    const auto decodedHead = codec::decodeHead({"b"}, codec::encodeHead(head), core::RowVersion{9});
+    REQUIRE(decodedHead.has_value());
+    CHECK(decodedHead.value().owner == head.owner);
+    CHECK(decodedHead.value().ownerIncarnation == 7);
+    CHECK(decodedHead.value().ended);
+    CHECK(decodedHead.value().total == 2);
+    CHECK(decodedHead.value().submittedAt == core::Duration(5));
+    CHECK(decodedHead.value().version == core::RowVersion{9});
+
+    const core::ItemResult result{
+            {"i"}, core::ItemOutcome::Completed, "a\nb", {core::WeightVersion{6}}, "score"};
+    CHECK(codec::decodeResult(codec::encodeResult(result)).value() == result);
+    const core::PartialText partial{3, "text", 4, {core::WeightVersion{6}}};
+    CHECK(codec::decodePartial(codec::encodePartial(partial)).value() == partial);
+}
+
+TEST_CASE("heartbeats, leases and relayed calls come back as they were")
+{
+    const core::NodeBeat beat{{{"node"}, "a:1", "zone", 7}, 9, true};
+    const auto decodedBeat = codec::decodeBeat(codec::encodeBeat(beat));
+    REQUIRE(decodedBeat.has_value());
+    CHECK(decodedBeat.value().node == beat.node);
+    CHECK(decodedBeat.value().counter == 9);
+    CHECK(decodedBeat.value().leaving);
+    const auto lease = codec::decodeOrdersLease(codec::encodeOrdersLease({{"node"}, 7, {}}),
+                                                core::RowVersion{4});
+    REQUIRE(lease.has_value());
+    CHECK(lease.value().holder.value == "node");
+    CHECK(lease.value().version == core::RowVersion{4});
+    const auto call = codec::decodeRelayedCall(
+            codec::encodeRelay(codec::RelayedCall{"GET", "/x", "b", core::Duration(5)}));
+    REQUIRE(call.has_value());
+    CHECK(call.value().target == "/x");
+    CHECK(call.value().timeLeft == core::Duration(5));
+    const auto reply = codec::decodeRelayedReply(
+            codec::encodeRelay(codec::RelayedReply{codec::RelayOutcome::NotSent, 0, ""}));
+    REQUIRE(reply.has_value());
+    CHECK(reply.value().outcome == codec::RelayOutcome::NotSent);
+}
+
+TEST_CASE("bytes of another shape are an error")
+{
+    CHECK_FALSE(codec::decodeHead({"b"}, "", {}).has_value());
+    CHECK_FALSE(codec::decodeResult("text").has_value());
+    CHECK_FALSE(codec::decodeBeat(codec::encodeOrdersLease({{"node"}, 7, {}})).has_value());
+    CHECK_FALSE(codec::decodeCopies(codec::encodeOrdersLease({{"node"}, 7, {}})).has_value());
+}
--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -1,3 +1,4 @@
+#include <geraniumpulley/codec/batch_rows.hpp>
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
@@ -50,6 +51,15 @@
     static_cast<void>(codec::decodeScore(bytes));
     static_cast<void>(codec::parseStepOrder(bytes));
     static_cast<void>(codec::parseConfiguration(bytes));
+    static_cast<void>(codec::decodeHead({"b"}, bytes, core::RowVersion{1}));
+    static_cast<void>(codec::decodeResult(bytes));
+    static_cast<void>(codec::decodePartial(bytes));
+    static_cast<void>(codec::decodeBeat(bytes));
+    static_cast<void>(codec::decodeOrdersLease(bytes, core::RowVersion{1}));
+    static_cast<void>(codec::decodeSubmitted(bytes));
+    static_cast<void>(codec::decodeCopies(bytes));
+    static_cast<void>(codec::decodeRelayedCall(bytes));
+    static_cast<void>(codec::decodeRelayedReply(bytes));
 }
 
 } // namespace
@@ -70,6 +80,13 @@
             R"({"deployment":"d","services":[{"name":"a","calls":[]}],"trainers":[]})",
             R"({"trainer":"t","step":1,"prompts":["p"],"group_size":1,"max_tokens":1})",
             R"({"reward":0.5})",
+            codec::encodeHead({{"b"}, {"node"}, 7, false, 2, core::Duration(5), {}}),
+            codec::encodeResult({{"i"}, core::ItemOutcome::Completed, "t", {{}, {}}, "s"}),
+            codec::encodePartial({1, "t", 3, {core::WeightVersion{2}}}),
+            codec::encodeBeat({{{"node"}, "a:1", "zone", 7}, 9, true}),
+            codec::encodeCopies({{core::FleetTable::Targets, "k", "v", core::RowVersion{4}}}),
+            codec::encodeRelay(codec::RelayedCall{"GET", "/x", "b", core::Duration(5)}),
+            codec::encodeRelay(codec::RelayedReply{codec::RelayOutcome::Answered, 200, "b"}),
     };
     constexpr std::uint64_t seeds = 20'000;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
