Perform what a duty decides in the order of its decisions in scenarios

Cause: seed 2474 of every_sample_delivered_once: the view with three targets went out 20 us after the one without any was decided, but was performed before it, so dispatch and rollouts kept the empty view for ever. World::run drew the moment of each step's actions by itself; a duty is one thread and hands its actions on in the order of its decisions (Duty, control_duty.cpp). Ruled out: a lost message (the transcript has both views), membership (all three nodes were known at 5 ms), a view that nobody repeats (rings between duties lose nothing). Change: an outbox for each duty of a simulated node. A longer run is asked for with SCENARIO_SEEDS and SCENARIO_FIRST_SEED; SCENARIO_TRANSCRIPT prints what happened. Before: seeds 252, 369, 484, 2474, 2699 fail. The five stay as regression seeds. Conclusion: a fault of the simulation, not of the decisions; no bound was changed.

--- a/tests/scenarios/unit-scenarios.cpp
+++ b/tests/scenarios/unit-scenarios.cpp
@@ -4,13 +4,41 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <filesystem>
+#include <numeric>
 
 namespace {
 
 constexpr std::uint64_t seedCount = 50;
 
+// Seeds that failed once. In 252, 369, 484, 2474 and 2699 the simulation performed what a duty had
+// decided in another order than it was decided in, so an older view followed a newer one.
+constexpr std::array<std::uint64_t, 5> regressionSeeds{252, 369, 484, 2474, 2699};
+
+std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+// A longer run is asked for with SCENARIO_SEEDS (how many) and SCENARIO_FIRST_SEED.
+std::vector<std::uint64_t> chosenSeeds()
+{
+    const std::uint64_t first = numberFromEnvironment("SCENARIO_FIRST_SEED", 1);
+    std::vector<std::uint64_t> seeds(numberFromEnvironment("SCENARIO_SEEDS", seedCount));
+    std::iota(seeds.begin(), seeds.end(), first);
+    seeds.insert(seeds.end(), regressionSeeds.begin(), regressionSeeds.end());
+    return seeds;
+}
+
+// With SCENARIO_TRANSCRIPT set, what happened in each run is printed.
+bool isTranscriptWanted()
+{
+    return std::getenv("SCENARIO_TRANSCRIPT") != nullptr;
+}
+
 std::vector<std::filesystem::path> scenarioFiles()
 {
     std::vector<std::filesystem::path> files;
@@ -33,11 +61,15 @@
             const auto parsed = scenario::parseScenario(scenario::readFile(file));
             for (const std::string &problem : parsed.problems)
                 FAIL_CHECK(problem);
-            for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+            for (const std::uint64_t seed : chosenSeeds()) {
                 const auto run = scenario::runScenario(parsed.commands, seed, SOURCE_DIRECTORY);
                 for (const std::string &failure : run.failures)
                     FAIL_CHECK(
                             fmt::format("{} seed {}: {}", file.filename().string(), seed, failure));
+                if (isTranscriptWanted()) {
+                    for (const std::string &line : run.transcript)
+                        MESSAGE(line);
+                }
             }
         }
     }
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -223,24 +223,28 @@
 // A step's actions are performed a moment later, so that a freeze or a kill may fall between a
 // decision and its effect. One thread performs them, so they keep their order.
 template<typename Event, typename State>
-void World::run(NodeProcess &node, State &state, const Event &event)
+void World::run(NodeProcess &node, State &state, Outbox &outbox, const Event &event)
 {
     auto actions = core::step(state, event, this->simulation.now);
     if (actions.empty())
         return;
-    this->simulation.after(this->simulation.jitter(threadHop), [this, &node,
-                                                                incarnation = node.incarnation,
-                                                                actions = std::move(actions)] {
+    outbox.push_back([this, &node, incarnation = node.incarnation, actions = std::move(actions)] {
         this->post(node, incarnation, [this, &node, actions] {
             for (const auto &action : actions)
                 std::visit([&](const auto &content) { perform(*this, node, content); }, action);
         });
     });
+    // The moments of two steps may fall in any order; what was decided first goes out first.
+    this->simulation.after(this->simulation.jitter(threadHop), [&outbox] {
+        const auto next = std::move(outbox.front());
+        outbox.pop_front();
+        next();
+    });
 }
 
 void World::deliver(NodeProcess &node, const core::ControlEvent &event)
 {
-    this->run(node, node.control, event);
+    this->run(node, node.control, node.controlOutbox, event);
     const core::ConfigurationVersion version = core::versionInForce(node.control);
     if (version < node.highestInForce)
         this->violations.push_back(node.name + " went back to an older configuration");
@@ -249,12 +253,12 @@
 
 void World::deliver(NodeProcess &node, const core::DispatchEvent &event)
 {
-    this->run(node, node.dispatch, event);
+    this->run(node, node.dispatch, node.dispatchOutbox, event);
 }
 
 void World::deliver(NodeProcess &node, const core::RolloutEvent &event)
 {
-    this->run(node, node.rollout, event);
+    this->run(node, node.rollout, node.rolloutOutbox, event);
 }
 
 // A frozen process leaves ticks out, as the timer service does when a ring does not move.
--- a/tests/scenarios/world.hpp
+++ b/tests/scenarios/world.hpp
@@ -22,6 +22,9 @@
 namespace core = geraniumpulley::core;
 
 /// One run of the node program: the states of its duties.
+/// What a duty has decided and not performed yet; its thread performs it in this order.
+using Outbox = std::deque<std::function<void()>>;
+
 struct NodeProcess : Process
 {
     core::Node self;
@@ -29,6 +32,9 @@
     core::ControlState control;
     core::DispatchState dispatch;
     core::RolloutState rollout;
+    Outbox controlOutbox;
+    Outbox dispatchOutbox;
+    Outbox rolloutOutbox;
     core::ConfigurationVersion highestInForce{}; ///< Of this run.
     bool drained = false;
 };
@@ -148,7 +154,7 @@
     void reportEngines(NodeProcess &node);
     void onStepAnswer(const std::string &name, const core::StepAnswer &answer);
     template<typename Event, typename State>
-    void run(NodeProcess &node, State &state, const Event &event);
+    void run(NodeProcess &node, State &state, Outbox &outbox, const Event &event);
 };
 
 // One overload for each action; a new action is a compile error until it has one.
