Log the loss of the store once, and its return once

Cause: `store_unavailable` was printed for each read each second of an outage. Change: the platform client tells when calls begin to fail and when they are served again; the node logs `store_lost` and `store_regained`. Rows that cannot be read still get a line each. Before: one line for each failed read.

--- a/packages/net/include/geraniumpulley/net/platform_client.hpp
+++ b/packages/net/include/geraniumpulley/net/platform_client.hpp
@@ -34,6 +34,9 @@
     core::Duration timeout = std::chrono::seconds(2);
     std::size_t maxInFlight = 32;
     std::size_t ringCapacity = 1024;
+    /// Told with the first call that fails and with the first one that is served again; runs on a
+    /// library thread.
+    std::function<void(bool served)> onServedChanged;
 };
 
 /// Calls the platform's table service, object store and list of VMs, on a thread of its own.
--- a/packages/net/src/platform_client.cpp
+++ b/packages/net/src/platform_client.cpp
@@ -58,6 +58,13 @@
     std::size_t count = 0;
 };
 
+// A conflict or a missing row is an answer; a server's error is none.
+bool isServed(const PlatformReply &reply)
+{
+    constexpr std::uint32_t firstServerError = 500;
+    return reply.answered && reply.status < firstServerError;
+}
+
 PlatformReply awaitReply(const pplx::task<PlatformReply> &task)
 {
     try {
@@ -73,7 +80,7 @@
 {
     explicit Implementation(const PlatformSettings &settings)
         : client(web::uri(settings.uri), configuration(settings)), inFlight(settings.maxInFlight),
-          duty(settings.ringCapacity)
+          onServedChanged(settings.onServedChanged), duty(settings.ringCapacity)
     {
     }
 
@@ -109,13 +116,22 @@
                        done = std::move(request.done)](const pplx::task<PlatformReply> &task) {
                     PlatformReply reply = awaitReply(task);
                     this->traffic += reply.body.size();
+                    this->noteServed(isServed(reply));
                     done(std::move(reply));
                     this->inFlight.release();
                 });
     }
 
+    void noteServed(bool isServed)
+    {
+        if (this->served.exchange(isServed) != isServed && this->onServedChanged)
+            this->onServedChanged(isServed);
+    }
+
     web::http::client::http_client client;
     InFlightLimit inFlight;
+    std::function<void(bool served)> onServedChanged;
+    std::atomic<bool> served = true;
     std::atomic<std::uint64_t> traffic = 0;
     runtime::Duty<PlatformRequest> duty;
 };
--- a/packages/net/tests/raw_server.hpp
+++ b/packages/net/tests/raw_server.hpp
@@ -5,20 +5,27 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace geraniumpulley::net::test {
 
-/// A TCP server that reads one request on each connection, writes fixed bytes and closes.
+/// A TCP server that reads one request on each connection, writes fixed bytes and closes. Given
+/// several answers, it goes through them and stays with the last.
 class RawServer
 {
 public:
-    explicit RawServer(std::string answer)
-        : answer(std::move(answer)),
+    explicit RawServer(std::string answer) : RawServer(std::vector<std::string>{std::move(answer)})
+    {
+    }
+
+    explicit RawServer(std::vector<std::string> answers)
+        : answers(std::move(answers)),
           acceptor(this->io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
           boundPort(this->acceptor.local_endpoint().port()), thread([this] { this->run(); })
     {
@@ -55,13 +62,15 @@
             std::string request;
             boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
                                     error);
+            const std::string &answer =
+                    this->answers[std::min<std::size_t>(this->count, this->answers.size() - 1)];
             if (!error)
                 ++this->count;
-            boost::asio::write(socket, boost::asio::buffer(this->answer), error);
+            boost::asio::write(socket, boost::asio::buffer(answer), error);
         }
     }
 
-    std::string answer;
+    std::vector<std::string> answers;
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor acceptor;
     std::uint16_t boundPort;
--- a/packages/node/src/control_duty.cpp
+++ b/packages/node/src/control_duty.cpp
@@ -73,11 +73,9 @@
                  "/table/rows?" + query,
                  {},
                  [this, done = std::move(done), failure](net::PlatformReply &&reply) {
-                     const bool answered = isOk(reply);
-                     auto rows = codec::decodeRows(answered ? reply.body : std::string());
+                     auto rows = node::readRows(this->parts.logger, "configuration", reply);
                      if (rows)
-                         return done(std::move(rows.value()));
-                     this->parts.logger.write("store_unavailable", field("read", "configuration"));
+                         return done(std::move(*rows));
                      this->push(failure);
                  }});
     }
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -117,7 +117,11 @@
     core::Result<void> openParts()
     {
         Parts &parts = this->parts;
-        BOOST_OUTCOME_TRY(platform, net::PlatformClient::create(platformSettings(this->settings)));
+        net::PlatformSettings store = platformSettings(this->settings);
+        store.onServedChanged = [&parts](bool served) {
+            parts.logger.write(served ? "store_regained" : "store_lost");
+        };
+        BOOST_OUTCOME_TRY(platform, net::PlatformClient::create(store));
         parts.platform = std::move(platform);
         BOOST_OUTCOME_TRY(targets, net::HttpCaller::create({}));
         parts.targets = std::move(targets);
--- a/packages/node/src/lease_actions.cpp
+++ b/packages/node/src/lease_actions.cpp
@@ -21,16 +21,6 @@
     parts.control.deliver(std::move(event));
 }
 
-std::optional<std::vector<codec::TableRow>> readRows(const net::PlatformReply &reply)
-{
-    if (!isOk(reply))
-        return std::nullopt;
-    auto rows = codec::decodeRows(reply.body);
-    if (!rows)
-        return std::nullopt;
-    return std::move(rows.value());
-}
-
 core::CommitResult commitResult(const net::PlatformReply &reply)
 {
     if (isOk(reply))
@@ -42,9 +32,9 @@
 
 void onLeaseRow(Parts &parts, const core::NodeId &node, const net::PlatformReply &reply)
 {
-    const auto rows = readRows(reply);
+    const auto rows = readRows(parts.logger, "lease", reply);
     if (!rows)
-        return parts.logger.write("store_unavailable", field("read", "lease"));
+        return;
     if (rows->empty())
         return push(parts, core::LeaseRowRead{node, std::nullopt, {}});
     const auto record = codec::decodeLeaseRecord(rows->front().value);
@@ -62,9 +52,9 @@
         const std::string path = std::string("/table/rows?prefix=") + codec::fenceRowPrefix;
         this->parts.platform->send(
                 {"GET", path, {}, [&parts = this->parts](net::PlatformReply &&reply) {
-                     const auto rows = readRows(reply);
+                     const auto rows = readRows(parts.logger, "fences", reply);
                      if (!rows)
-                         return parts.logger.write("store_unavailable", field("read", "fences"));
+                         return;
                      auto fences = codec::decodeFenceRows(*rows);
                      if (!fences)
                          return parts.logger.write("fence_row_malformed");
--- a/packages/node/src/platform_results.hpp
+++ b/packages/node/src/platform_results.hpp
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/net/platform_client.hpp>
+#include <geraniumpulley/runtime/log.hpp>
 
 #include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace geraniumpulley::node {
 
@@ -13,6 +18,21 @@
     return reply.answered && reply.status == statusOk;
 }
 
+/// \return the rows of an answer, or nothing. A call that failed is told by the platform client,
+/// once for a whole outage; an answer that cannot be read is logged here. \param table what was
+/// read, for the log.
+inline std::optional<std::vector<codec::TableRow>>
+readRows(runtime::Logger &logger, const char *table, const net::PlatformReply &reply)
+{
+    if (!isOk(reply))
+        return std::nullopt;
+    auto rows = codec::decodeRows(reply.body);
+    if (rows)
+        return std::move(rows.value());
+    logger.write("rows_malformed", runtime::field("read", table));
+    return std::nullopt;
+}
+
 /// \return whether the table service answered that a condition of the transaction does not hold.
 inline bool isConflict(const net::PlatformReply &reply)
 {
