--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -40,7 +40,7 @@
        tests/*/*_world.cpp)
   if(BUILD_TESTING AND tests)
     add_executable(test_${name} tests/main.cpp ${tests})
-    target_include_directories(test_${name} PRIVATE src)
+    target_include_directories(test_${name} PRIVATE src ${PROJECT_SOURCE_DIR}/tests/support)
     target_link_libraries(test_${name} PRIVATE geraniumpulley::${name} geraniumpulley_options rapidcheck)
     add_test(NAME unit-${name} COMMAND test_${name})
     # Property tests draw from this seed, so that a run gives the same verdict each time.
--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -1,3 +1,5 @@
+#include "disturbed_bytes.hpp"
+
 #include <geraniumpulley/codec/batch_rows.hpp>
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/configuration_text.hpp>
@@ -14,28 +16,6 @@
 namespace {
 
 // Bytes near a valid text: cut, with bytes replaced, doubled in part or nested deeply.
-std::string disturb(std::string text, std::mt19937_64 &random)
-{
-    const std::size_t changes = 1 + random() % 4;
-    for (std::size_t i = 0; i < changes && !text.empty(); ++i) {
-        const std::size_t at = random() % text.size();
-        switch (random() % 4) {
-        case 0:
-            text.resize(at);
-            break;
-        case 1:
-            text[at] = static_cast<char>(random());
-            break;
-        case 2:
-            text.insert(at, text.substr(at / 2));
-            break;
-        default:
-            text.insert(at, std::string(1 + random() % 64, "[{\"9-"[random() % 5]));
-        }
-    }
-    return text;
-}
-
 void decodeAll(const std::string &bytes)
 {
     static_cast<void>(codec::decodeAnnouncement(bytes));
@@ -92,7 +72,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         CAPTURE(seed);
         std::mt19937_64 random(seed);
-        const std::string bytes = disturb(texts[random() % std::size(texts)], random);
+        const std::string bytes = test::disturb(texts[random() % std::size(texts)], random);
         REQUIRE_NOTHROW(decodeAll(bytes));
     }
 }
--- a/packages/core/src/calls/target_health.cpp
+++ b/packages/core/src/calls/target_health.cpp
@@ -1,12 +1,10 @@
 #include <geraniumpulley/core/calls/target_health.hpp>
 
-#include <algorithm>
+#include <geraniumpulley/core/back_off.hpp>
 
 namespace geraniumpulley::core {
 namespace {
 
-constexpr std::uint32_t highestDoubling = 10;
-
 bool isEjected(const TargetHealth &health)
 {
     return health.ejections > 0;
@@ -42,10 +40,9 @@
             isEjected(health) ? probeFailed : health.failures >= settings.failuresToEject;
     if (!ejects)
         return;
-    const std::uint32_t doublings = std::min(health.ejections, highestDoubling);
-    ++health.ejections;
     health.ejectedUntil =
-            now + std::min(settings.firstEjection * (1U << doublings), settings.longestEjection);
+            now + backOff(settings.firstEjection, settings.longestEjection, health.ejections);
+    ++health.ejections;
 }
 
 void noteAbandoned(TargetHealth &health)
--- a/packages/core/src/engines/engines.cpp
+++ b/packages/core/src/engines/engines.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/engines/engines.hpp>
 
+#include <geraniumpulley/core/back_off.hpp>
+
 #include "engine_holds.hpp"
 
 #include <algorithm>
@@ -20,14 +22,6 @@
 constexpr std::uint32_t failuresToGiveUp = 3;
 constexpr std::size_t ownersAsked = 8; // Bounds the reports that a node hears of others.
 
-Duration backoff(std::uint32_t failures)
-{
-    Duration wait = firstBackoff;
-    for (std::uint32_t i = 1; i < failures && wait < longestBackoff; ++i)
-        wait *= 2;
-    return std::min(wait, longestBackoff);
-}
-
 Duration pollPeriod(const EnginesState &state)
 {
     const auto engines = static_cast<Duration::rep>(state.engines.size());
@@ -273,8 +267,8 @@
             record.report->swapping = false;
             return;
         }
+        record.retryAt = this->now + backOff(firstBackoff, longestBackoff, record.failures);
         ++record.failures;
-        record.retryAt = this->now + backoff(record.failures);
         if (record.failures >= failuresToGiveUp)
             this->actions.push_back(EngineGivenUp{target, record.ordered, record.failures});
     }
--- a/packages/core/src/rollouts/placement.cpp
+++ b/packages/core/src/rollouts/placement.cpp
@@ -1,12 +1,14 @@
 #include <geraniumpulley/core/rollouts/placement.hpp>
 
+#include <geraniumpulley/core/back_off.hpp>
+
 #include <algorithm>
 
 namespace geraniumpulley::core {
 namespace {
 
 constexpr Duration firstRest = std::chrono::milliseconds(250);
-constexpr std::uint32_t mostDoublings = 6;
+constexpr Duration longestRest = std::chrono::seconds(16);
 
 // Requests that others have at the engine count against the room for rollouts, so that
 // application calls find it free. A report lags, so it never lowers what this node knows.
@@ -29,7 +31,7 @@
 
 void noteFailure(EngineLoad &load, Time now)
 {
-    load.retryAt = now + firstRest * (1U << std::min(load.failures, mostDoublings));
+    load.retryAt = now + backOff(firstRest, longestRest, load.failures);
     ++load.failures;
 }
 
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -71,25 +71,13 @@
     return "unknown";
 }
 
-net::CancelKey keyOf(core::OperationId run)
-{
-    return static_cast<net::CancelKey>(core::number(run));
-}
-
 struct BatchDuty
 {
     Parts &parts;
     core::BatchState state;
     Wakeup wakeup;
 
-    void handle(const core::BatchEvent &event)
-    {
-        if (std::holds_alternative<core::BatchTick>(event))
-            this->wakeup.noteTick();
-        for (core::BatchAction &action : core::step(this->state, event, runtime::now()))
-            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
-        this->wakeup.armFor(core::dueAt(this->state, runtime::now()));
-    }
+    std::optional<core::Time> due() const { return core::dueAt(this->state, runtime::now()); }
 
     void push(core::BatchEvent event) { this->parts.batches.deliver(std::move(event)); }
 
@@ -111,7 +99,7 @@
         request.deadline = run.deadline;
         request.connectLimit = connectLimit;
         request.silenceLimit = runSilenceLimit;
-        request.cancelKey = keyOf(run.run);
+        request.cancelKey = cancelKeyOf(run.run);
         const auto events = std::make_shared<platform::EventStream>();
         request.onHead = [this, id = run.run](net::HttpHead &&head) {
             this->push(core::RunOpened{id, platform::decodeRunHead(head)});
@@ -144,7 +132,7 @@
 
     void perform(core::CancelRun &&cancel)
     {
-        if (!this->parts.engines->cancel(keyOf(cancel.run)))
+        if (!this->parts.engines->cancel(cancelKeyOf(cancel.run)))
             this->parts.metrics.count("cancels_dropped");
     }
 
@@ -207,7 +195,9 @@
             BatchDuty{parts, core::makeBatchState(self, {}), Wakeup(*parts.timer, [&parts] {
                           static_cast<void>(parts.batches.inbox().tryPush(core::BatchTick{}));
                       })});
-    parts.batches.start("batches", [duty](core::BatchEvent &&event) { duty->handle(event); });
+    parts.batches.start("batches", [duty](core::BatchEvent &&event) {
+        decideAndArm<core::BatchTick>(*duty, event);
+    });
 }
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -40,25 +40,13 @@
     return "unknown";
 }
 
-net::CancelKey keyOf(core::OperationId operation)
-{
-    return static_cast<net::CancelKey>(core::number(operation));
-}
-
 struct CallDuty
 {
     Parts &parts;
     core::EntryState state;
     Wakeup wakeup;
 
-    void handle(const core::EntryEvent &event)
-    {
-        if (std::holds_alternative<core::EntryTick>(event))
-            this->wakeup.noteTick();
-        for (core::EntryAction &action : core::step(this->state, event, runtime::now()))
-            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
-        this->wakeup.armFor(core::dueAt(this->state));
-    }
+    std::optional<core::Time> due() const { return core::dueAt(this->state); }
 
     void push(core::EntryEvent event) { this->parts.calls.deliver(std::move(event)); }
 
@@ -67,7 +55,7 @@
         net::HttpRequest request = platform::encodeAttempt(attempt, runtime::now());
         request.deadline = attempt.deadline;
         request.connectLimit = connectLimit;
-        request.cancelKey = keyOf(attempt.operation);
+        request.cancelKey = cancelKeyOf(attempt.operation);
         if (attempt.streams)
             return this->sendStream(attempt, std::move(request));
         request.done = [this, attempt, sentAt = runtime::now()](net::HttpResult &&result) {
@@ -127,7 +115,7 @@
 
     void perform(core::CancelAttempt &&cancel)
     {
-        if (!this->parts.targets->cancel(keyOf(cancel.operation)))
+        if (!this->parts.targets->cancel(cancelKeyOf(cancel.operation)))
             this->parts.metrics.count("cancels_dropped");
     }
 
@@ -173,7 +161,9 @@
             CallDuty{parts, core::makeEntryState({}, seed), Wakeup(*parts.timer, [&parts] {
                          static_cast<void>(parts.calls.inbox().tryPush(core::EntryTick{}));
                      })});
-    parts.calls.start("calls", [duty](core::EntryEvent &&event) { duty->handle(event); });
+    parts.calls.start("calls", [duty](core::EntryEvent &&event) {
+        decideAndArm<core::EntryTick>(*duty, event);
+    });
 }
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -102,18 +102,11 @@
 
     void handle(const core::FleetEvent &event)
     {
-        if (std::holds_alternative<core::FleetTick>(event))
-            this->wakeup.noteTick();
         this->lookForSuspension();
-        this->step(event);
-        this->wakeup.armFor(core::dueAt(this->state));
+        decideAndArm<core::FleetTick>(*this, event);
     }
 
-    void step(const core::FleetEvent &event)
-    {
-        for (core::FleetAction &action : core::step(this->state, event, runtime::now()))
-            std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
-    }
+    std::optional<core::Time> due() const { return core::dueAt(this->state); }
 
     void lookForSuspension()
     {
@@ -122,7 +115,7 @@
         if (jump <= suspensionLimit)
             return;
         this->parts.logger.write("machine_suspended", field("for_ms", jump.count() / 1000));
-        this->step(core::ClockSuspended{});
+        decide(*this, core::FleetEvent{core::ClockSuspended{}});
     }
 
     void push(core::FleetEvent event) { this->parts.fleet.deliver(std::move(event)); }
