Share engines between models by the work of their batches

Ruled out: more spill (engines of another model are too old after two versions); loading all models everywhere (loads are priced and stop new runs); shares by recent demand (a starved trainer asks less and would get less). The shares are computed once for each change of the directory, not for each waiting item; progress of a run no longer looks for room.

--- a/packages/codec/src/batch_rows.cpp
+++ b/packages/codec/src/batch_rows.cpp
@@ -14,7 +14,8 @@
 using detail::pack;
 using detail::unpack;
 
-using HeadWire = std::tuple<std::string, std::uint64_t, bool, std::uint32_t, std::int64_t>;
+using HeadWire = std::tuple<std::string, std::uint64_t, bool, std::uint32_t, std::int64_t,
+                            std::string, std::uint64_t>;
 using ResultWire =
         std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
 using PartialWire =
@@ -51,7 +52,7 @@
 std::string encodeHead(const core::BatchHead &head)
 {
     return pack(HeadWire{head.owner.value, head.ownerIncarnation, head.ended, head.total,
-                         head.submittedAt.count()});
+                         head.submittedAt.count(), head.model, head.expectedTokens});
 }
 
 core::Result<core::BatchHead> decodeHead(const core::BatchId &id, const std::string &bytes,
@@ -60,9 +61,11 @@
     const auto wire = unpack<HeadWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[owner, incarnation, ended, total, submittedAt] = wire.value();
-    return core::BatchHead{id,     {owner}, incarnation, ended, total, core::Duration(submittedAt),
-                           version};
+    const auto &[owner, incarnation, ended, total, submittedAt, model, expectedTokens] =
+            wire.value();
+    return core::BatchHead{id,    {owner},        incarnation,
+                           ended, total,          core::Duration(submittedAt),
+                           model, expectedTokens, version};
 }
 
 std::string encodeResult(const core::ItemResult &result)
--- a/packages/codec/tests/unit-batch_rows.cpp
+++ b/packages/codec/tests/unit-batch_rows.cpp
@@ -6,7 +6,8 @@
 
 TEST_CASE("rows of batches come back as they were")
 {
-    const core::BatchHead head{{"b"}, {"node"}, 7, true, 2, core::Duration(5), core::RowVersion{9}};
+    const core::BatchHead head{{"b"}, {"node"},           7, true, 2, core::Duration(5), "m",
+                               640,   core::RowVersion{9}};
     const auto decodedHead = codec::decodeHead({"b"}, codec::encodeHead(head), core::RowVersion{9});
     REQUIRE(decodedHead.has_value());
     CHECK(decodedHead.value().owner == head.owner);
@@ -14,6 +15,8 @@
     CHECK(decodedHead.value().ended);
     CHECK(decodedHead.value().total == 2);
     CHECK(decodedHead.value().submittedAt == core::Duration(5));
+    CHECK(decodedHead.value().model == "m");
+    CHECK(decodedHead.value().expectedTokens == 640);
     CHECK(decodedHead.value().version == core::RowVersion{9});
 
     const core::ItemResult result{
--- a/packages/core/include/geraniumpulley/core/batch/batch_head.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_head.hpp
@@ -5,6 +5,8 @@
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace geraniumpulley::core {
 
@@ -23,7 +25,11 @@
     bool ended = false; ///< The trainer wants no more results.
     std::uint32_t total = 0; ///< Items of the batch.
     Duration submittedAt{}; ///< On the store's clock.
+    std::string model; ///< That makes its texts.
+    std::uint64_t expectedTokens = 0; ///< Of all its texts together, as the trainer guesses.
     RowVersion version{};
 };
 
+using BatchMap = std::map<BatchId, BatchHead>;
+
 } // namespace geraniumpulley::core
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -3,6 +3,7 @@
 #include "batch_context.hpp"
 
 #include <utility>
+#include <variant>
 
 namespace geraniumpulley::core {
 namespace {
@@ -119,7 +120,9 @@
 {
     BatchContext context{state, now, {}};
     std::visit(Handler{context}, event);
-    startRuns(context);
+    // Progress that breaks no run off makes no room. There are many such events.
+    if (!std::holds_alternative<RunProgressed>(event) || !context.actions.empty())
+        startRuns(context);
     advanceReleases(context);
     noteDrained(context);
     return std::move(context.actions);
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -48,6 +48,15 @@
     return context.state.owned.count(id) != 0 || context.state.directory->batches->count(id) != 0;
 }
 
+// Without a guess of the trainer the longest output counts.
+std::uint64_t expectedTokensOf(const BatchOrder &order)
+{
+    std::uint64_t tokens = 0;
+    for (const BatchItem &item : order.items)
+        tokens += item.expectedTokens > 0 ? item.expectedTokens : item.tokens;
+    return tokens;
+}
+
 void startReading(BatchContext &context, ReplyToken reply, StoreReader &reader)
 {
     reader.reading = true;
@@ -92,6 +101,8 @@
         submission.head.owner = state.self.id;
     submission.head.ownerIncarnation = state.self.incarnation;
     submission.head.total = static_cast<std::uint32_t>(event.order->items.size());
+    submission.head.model = event.order->model;
+    submission.head.expectedTokens = expectedTokensOf(*event.order);
     submission.head.submittedAt =
             context.now.time_since_epoch() + *state.directory->storeClockOffset;
     submission.askers.push_back(event.reply);
--- a/packages/core/src/batch/engine_choice.cpp
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -36,15 +36,9 @@
 
 bool hasWeights(const EngineUse *use, const FleetTarget &engine, const BatchOrder &order)
 {
-    WeightVersion version{};
-    const auto told = engine.weights.find(order.model);
-    if (told != engine.weights.end())
-        version = told->second;
-    if (use != nullptr) {
-        const auto seen = use->versions.find(order.model);
-        if (seen != use->versions.end())
-            version = std::max(version, seen->second);
-    }
+    WeightVersion version = versionOf(engine.weights, order.model);
+    if (use != nullptr)
+        version = std::max(version, versionOf(use->versions, order.model));
     return version >= order.leastVersion;
 }
 
@@ -58,6 +52,12 @@
     return isOwn ? engine.slots : engine.slots * settings.spillPercent / 100;
 }
 
+bool isSlow(const BatchContext &context, const TargetId &target, Duration usual)
+{
+    const Duration own = eventTimeOf(context, target);
+    return usual > Duration{} && own > usual * context.state.settings.slowFactor;
+}
+
 struct Choice
 {
     const FleetTarget *engine = nullptr;
@@ -69,33 +69,31 @@
 
 bool isSlow(const BatchContext &context, const TargetId &target)
 {
-    const Duration usual = usualEventTime(context);
-    const Duration own = eventTimeOf(context, target);
-    return usual > Duration{} && own > usual * context.state.settings.slowFactor;
+    return isSlow(context, target, usualEventTime(context));
 }
 
 const FleetTarget *chooseEngine(const BatchContext &context, const BatchOrder &order,
                                 const ItemState &item, const ServiceName &service)
 {
-    const auto serving = servingTargets(*context.state.directory->targets, service);
-    const auto assigned = assignModels(serving, modelsOf(serving));
+    const Directory &directory = *context.state.directory;
     const BatchSettings &settings = context.state.settings;
+    const Duration usual = usualEventTime(context);
     Choice best;
-    for (const FleetTarget *engine : serving) {
+    for (const FleetTarget *engine : servingTargets(*directory.targets, service)) {
         const TargetId &id = engine->target.id;
         const auto position = context.state.engines.find(id);
         const EngineUse *use =
                 position == context.state.engines.end() ? nullptr : &position->second;
         if (!hasWeights(use, *engine, order) || (use != nullptr && use->notBefore > context.now))
             continue;
-        const auto model = assigned.find(id);
-        const bool isOwn = model != assigned.end() && model->second == order.model;
+        const auto model = directory.shares->find(id);
+        const bool isOwn = model != directory.shares->end() && model->second == order.model;
         const std::uint32_t running = use == nullptr ? 0 : use->running;
         if (running >= roomOf(*engine, use, isOwn, settings))
             continue;
         // Engines of other models, the one that has just failed and slow ones come after.
         const int rank =
-                (isOwn ? 0 : 1) + (id == item.lastTarget ? 2 : 0) + (isSlow(context, id) ? 4 : 0);
+                (isOwn ? 0 : 1) + (id == item.lastTarget ? 2 : 0) + (isSlow(context, id, usual) ? 4 : 0);
         const double load = static_cast<double>(running) / engine->slots;
         if (best.engine == nullptr || rank < best.rank || (rank == best.rank && load < best.load))
             best = {engine, rank, load};
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -238,6 +238,7 @@
                 targets->emplace(id, known.target);
             next.targets = std::move(targets);
             next.desiredWeights = std::make_shared<WeightMap>(state.desiredWeights);
+            next.shares = this->shareAllEngines(*next.targets);
             if (state.batchesKnown)
                 next.batches = std::make_shared<BatchMap>(state.batches);
         }
@@ -250,6 +251,20 @@
         state.presenceChanged = false;
     }
 
+    std::shared_ptr<const EngineShares> shareAllEngines(const TargetMap &targets) const
+    {
+        auto all = std::make_shared<EngineShares>();
+        if (!this->state.routing)
+            return all;
+        const ModelWork work = workOfBatches(this->state.batches);
+        for (const RoutedService &service : this->state.routing->services) {
+            if (service.isEngine)
+                all->merge(shareEngines(servingTargets(targets, service.name), work,
+                                        this->state.desiredWeights));
+        }
+        return all;
+    }
+
     static FencingNumber fenceOf(const OrdersLease &lease)
     {
         return static_cast<FencingNumber>(lease.version);
@@ -269,6 +284,7 @@
         state.followers[i].settings = follows[i];
     state.published.targets = std::make_shared<TargetMap>();
     state.published.desiredWeights = std::make_shared<WeightMap>();
+    state.published.shares = std::make_shared<EngineShares>();
     state.published.presence = state.presence;
     return state;
 }
--- a/packages/core/src/fleet/weight_orders.cpp
+++ b/packages/core/src/fleet/weight_orders.cpp
@@ -12,12 +12,6 @@
     WeightVersion version{};
 };
 
-WeightVersion versionOf(const WeightMap &weights, const std::string &model)
-{
-    const auto position = weights.find(model);
-    return position == weights.end() ? WeightVersion{} : position->second;
-}
-
 WeightVersion knownVersion(const WeightOrders &orders, const FleetTarget &target,
                            const std::string &model)
 {
@@ -33,13 +27,12 @@
 void addNeeds(const WeightOrders &orders, const Directory &directory, const ServiceName &service,
               std::vector<EngineNeed> &needs)
 {
-    const auto serving = servingTargets(*directory.targets, service);
-    const auto assigned = assignModels(serving, modelsOf(serving));
+    const EngineShares &shares = *directory.shares;
     std::map<std::string, std::size_t> upToDate;
     std::vector<EngineNeed> behind;
-    for (const FleetTarget *target : serving) {
-        const auto model = assigned.find(target->target.id);
-        if (model == assigned.end())
+    for (const FleetTarget *target : servingTargets(*directory.targets, service)) {
+        const auto model = shares.find(target->target.id);
+        if (model == shares.end())
             continue;
         const WeightVersion desired = versionOf(*directory.desiredWeights, model->second);
         if (knownVersion(orders, *target, model->second) < desired)
@@ -95,7 +88,7 @@
 std::vector<AskEngineState> planOrders(WeightOrders &orders, const Directory &directory, Time now)
 {
     std::vector<AskEngineState> actions;
-    if (!directory.routing || !directory.targets || !directory.desiredWeights)
+    if (!directory.routing || !directory.targets || !directory.desiredWeights || !directory.shares)
         return actions;
     forgetEnded(orders, directory);
     std::size_t underWay = 0;
--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -36,6 +36,8 @@
     {
         this->directory.targets = std::make_shared<TargetMap>(this->targets);
         this->directory.desiredWeights = std::make_shared<WeightMap>(this->desired);
+        this->directory.shares = std::make_shared<EngineShares>(
+                shareEngines(servingTargets(this->targets, {"engines"}), {}, this->desired));
     }
 
     std::vector<AskEngineState> plan(Time now)
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -15,7 +15,7 @@
 
 core::BatchHead makeHead()
 {
-    return {id, {"node"}, 7, false, 2, core::Duration(5), core::RowVersion{9}};
+    return {id, {"node"}, 7, false, 2, core::Duration(5), "m", 640, core::RowVersion{9}};
 }
 
 std::vector<platform::Row> rowsOf(const platform::Transaction &transaction)
