Keep the batches of a model at one node, one with enough processor time

Cause: the node that received a batch owned it. Ruled out: forwarding submissions to the owner (a second hop before the 202, and a dead owner refuses); the receiving node stores the batch with the owner in its head and answers itself. Change: heartbeats tell capacity; rankNodes orders the living nodes by the batch's model, those with less than half of the largest capacity last. The same order decides who takes over. A stopping node that is given a batch gives it back. Readers elsewhere ask the store each 100 ms, not 200.

--- a/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
+++ b/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
@@ -39,7 +39,7 @@
     std::string readString(const char *key, std::optional<std::string> fallback = std::nullopt);
     std::uint64_t readNumber(const char *key, Range range = {},
                              std::optional<std::uint64_t> fallback = std::nullopt);
-    double readReal(const char *key);
+    double readReal(const char *key, std::optional<double> fallback = std::nullopt);
     bool readBool(const char *key, std::optional<bool> fallback = std::nullopt);
     /// Reads whole milliseconds, at least `least` and at most a day.
     core::Duration readMilliseconds(const char *key, core::Duration least,
--- a/packages/codec/src/batch_rows.cpp
+++ b/packages/codec/src/batch_rows.cpp
@@ -20,8 +20,8 @@
         std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
 using PartialWire =
         std::tuple<std::uint32_t, std::string, std::uint64_t, std::vector<std::uint64_t>>;
-using BeatWire =
-        std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, bool>;
+using BeatWire = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
+                            bool, std::uint32_t>;
 using LeaseWire = std::tuple<std::string, std::uint64_t>;
 using SubmittedWire = std::tuple<std::string, std::string, std::string>;
 using RowCopyWire = std::tuple<int, std::string, std::string, std::uint64_t>;
@@ -105,7 +105,7 @@
 std::string encodeBeat(const core::NodeBeat &beat)
 {
     return pack(BeatWire{beat.node.id.value, beat.node.address, beat.node.dataCentre,
-                         beat.node.incarnation, beat.counter, beat.leaving});
+                         beat.node.incarnation, beat.counter, beat.leaving, beat.capacity});
 }
 
 core::Result<core::NodeBeat> decodeBeat(const std::string &bytes)
@@ -113,8 +113,8 @@
     const auto wire = unpack<BeatWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[id, address, dataCentre, incarnation, counter, leaving] = wire.value();
-    return core::NodeBeat{{{id}, address, dataCentre, incarnation}, counter, leaving};
+    const auto &[id, address, dataCentre, incarnation, counter, leaving, capacity] = wire.value();
+    return core::NodeBeat{{{id}, address, dataCentre, incarnation}, counter, leaving, capacity};
 }
 
 std::string encodeOrdersLease(const core::OrdersLease &lease)
--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -49,9 +49,11 @@
     return range.least;
 }
 
-double JsonReader::readReal(const char *key)
+double JsonReader::readReal(const char *key, std::optional<double> fallback)
 {
     const web::json::value *field = this->find(key);
+    if (field == nullptr && fallback)
+        return *fallback;
     if (field != nullptr && field->is_number())
         return field->as_double();
     this->report(key, field == nullptr ? "is missing" : "is not a number", "a number");
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -25,7 +25,7 @@
     Duration storeRetryDelay = std::chrono::milliseconds(100); ///< Doubles with each failure.
     Duration longestRetryDelay = std::chrono::milliseconds(500);
     /// Between two reads of the store for a reader that waits at a node that is not the owner.
-    Duration readPeriod = std::chrono::milliseconds(200);
+    Duration readPeriod = std::chrono::milliseconds(100);
     /// Between two writes of what running texts have made: what a takeover loses at most.
     Duration partialPeriod = std::chrono::milliseconds(1000);
     std::uint64_t partialEvents = 8; ///< New events that are worth a write.
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -150,6 +150,7 @@
 struct FleetSettings
 {
     Node self;
+    std::uint32_t capacity = 0; ///< Processor time in thousandths of a core; 0 when not known.
     PresenceSettings presence;
     Duration leaseTime = std::chrono::seconds(3); ///< An earlier holder's orders end within it.
     Duration beatLimit = std::chrono::milliseconds(1500); ///< Without an answer to a heartbeat.
@@ -213,8 +214,4 @@
 /// \return when the next tick is needed.
 Time dueAt(const FleetState &state);
 
-/// \return this node's place among the nodes that may take a piece of work over, 0 for the first.
-std::size_t takeoverRank(const std::string &key, const std::vector<Node> &nodes,
-                         const NodeId &self);
-
 } // namespace geraniumpulley::core
--- a/packages/core/include/geraniumpulley/core/fleet/presence.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/presence.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 /// Which nodes are alive, judged by the heartbeats that they write to the table service.
@@ -16,6 +17,9 @@
     Node node;
     std::uint64_t counter = 0; ///< Rises with each beat of one incarnation.
     bool leaving = false; ///< The node stops and takes no work over.
+    std::uint32_t capacity = 0; ///< Processor time in thousandths of a core; 0 when not known.
+
+    bool operator==(const NodeBeat &) const = default;
 };
 
 struct PresenceSettings
@@ -59,4 +63,11 @@
 /// \return the nodes that may take work over, in order of their ids.
 std::vector<Node> liveNodes(const Presence &presence, Time now);
 
+/// \return the same nodes in the order in which they should take a piece of work: those with little
+/// processor time last, and otherwise in an order of the key's own.
+std::vector<Node> rankNodes(const Presence &presence, const std::string &key, Time now);
+
+/// \return this node's place in that order, 0 for the first.
+std::size_t takeoverRank(const Presence &presence, const std::string &key, Time now);
+
 } // namespace geraniumpulley::core
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -45,9 +45,14 @@
         item.lastEvent = partial.lastEvent;
         item.storedEvent = partial.lastEvent;
         item.versions = partial.versions;
-    }
-    for (ItemState &item : batch.items)
         item.cause = RunCause::TakenOver;
+    }
+}
+
+// Whether another node may have worked on a batch.
+bool hasBegun(const StoredBatch &stored)
+{
+    return !stored.results.empty() || !stored.partials.empty();
 }
 
 Time localTime(const BatchContext &context, Duration storeClock)
@@ -64,9 +69,9 @@
     context.actions.emplace_back(StoreHead{std::move(claimed), head.version, {}});
 }
 
-// A batch without a living owner goes to the first of the living nodes in the batch's own order;
+// A batch without a living owner goes to the first of the living nodes in the order of its model;
 // each further one waits a step longer, in case those before it cannot reach the store.
-void watchTakeover(BatchContext &context, const BatchHead &head, const std::vector<Node> &nodes)
+void watchTakeover(BatchContext &context, const BatchHead &head)
 {
     BatchState &state = context.state;
     const bool isFree =
@@ -78,7 +83,7 @@
     }
     const auto [position, isNew] = state.takeovers.emplace(head.id, TakeoverWatch{context.now});
     TakeoverWatch &watch = position->second;
-    const std::size_t rank = takeoverRank(head.id.value, nodes, state.self.id);
+    const std::size_t rank = takeoverRank(state.directory->presence, head.model, context.now);
     if (watch.claiming || context.now - watch.since < state.settings.takeoverStep * rank)
         return;
     watch.claiming = true;
@@ -102,7 +107,18 @@
     dropBatch(context, head.id, head.ended ? OwnershipChange::Ended : OwnershipChange::Superseded);
 }
 
-void reviewHead(BatchContext &context, const BatchHead &head, const std::vector<Node> &nodes)
+// A stopping node may be given a batch by one that has not heard of the stop yet.
+void giveBack(BatchContext &context, const BatchHead &head)
+{
+    TakeoverWatch &watch = context.state.takeovers[head.id];
+    if (std::exchange(watch.claiming, true))
+        return;
+    BatchHead free = head;
+    free.owner = {};
+    context.actions.emplace_back(StoreHead{std::move(free), head.version, {}});
+}
+
+void reviewHead(BatchContext &context, const BatchHead &head)
 {
     BatchState &state = context.state;
     if (state.owned.count(head.id) != 0)
@@ -110,7 +126,8 @@
     const bool isBusy = state.loading.count(head.id) != 0 || state.submissions.count(head.id) != 0;
     if (isBusy || isOutdated(context, head))
         return;
-    if (isExpired(context, head) && takeoverRank(head.id.value, nodes, state.self.id) == 0) {
+    if (isExpired(context, head)
+        && takeoverRank(state.directory->presence, head.model, context.now) == 0) {
         state.dropped[head.id] = head.version;
         context.actions.emplace_back(RemoveBatch{head});
         return;
@@ -118,18 +135,22 @@
     if (head.ended) {
         state.takeovers.erase(head.id);
     } else if (isOwnHead(context, head)) {
-        if (!state.draining)
+        if (state.draining)
+            giveBack(context, head);
+        else
             loadBatch(context, head.id, true);
     } else {
-        watchTakeover(context, head, nodes);
+        watchTakeover(context, head);
     }
 }
 
 void onReleaseStored(BatchContext &context, const HeadStored &event)
 {
     const auto position = context.state.owned.find(event.head.id);
-    if (position == context.state.owned.end())
+    if (position == context.state.owned.end()) {
+        context.state.takeovers.erase(event.head.id);
         return;
+    }
     OwnedBatch &batch = position->second;
     if (event.outcome == StoreOutcome::Done || event.outcome == StoreOutcome::Conflict) {
         context.state.dropped[event.head.id] = std::max(event.version, batch.head.version);
@@ -160,8 +181,9 @@
     batch.nextPartials = context.now + context.state.settings.partialPeriod;
     if (stored != nullptr)
         restoreTexts(batch, *stored);
-    const OwnershipChange change =
-            stored == nullptr ? OwnershipChange::Opened : OwnershipChange::TakenOver;
+    const OwnershipChange change = stored == nullptr || !hasBegun(*stored)
+                                           ? OwnershipChange::Opened
+                                           : OwnershipChange::TakenOver;
     context.actions.emplace_back(OwnershipChanged{head.id, change, head.version,
                                                   static_cast<std::uint32_t>(batch.listed.size()),
                                                   head.total});
@@ -195,9 +217,8 @@
     const DirectoryPointer &directory = context.state.directory;
     if (!directory || !directory->batches)
         return;
-    const std::vector<Node> nodes = liveNodes(directory->presence, context.now);
     for (const auto &[id, head] : *directory->batches)
-        reviewHead(context, head, nodes);
+        reviewHead(context, head);
     const auto isForgotten = [&](const auto &entry) {
         return directory->batches->count(entry.first) == 0;
     };
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -48,6 +48,18 @@
     return context.state.owned.count(id) != 0 || context.state.directory->batches->count(id) != 0;
 }
 
+// Batches of one model go to one node, which keeps its connections to the model's engines. A node
+// that is about to stop leaves the batch to another one.
+Node ownerFor(const BatchContext &context, const std::string &model)
+{
+    const BatchState &state = context.state;
+    for (Node &node : rankNodes(state.directory->presence, model, context.now)) {
+        if (node.id != state.self.id || !state.draining)
+            return std::move(node);
+    }
+    return state.draining ? Node{} : state.self;
+}
+
 // Without a guess of the trainer the longest output counts.
 std::uint64_t expectedTokensOf(const BatchOrder &order)
 {
@@ -96,10 +108,9 @@
     PendingSubmission submission;
     submission.order = event.order;
     submission.head.id = id;
-    // A node that is about to stop leaves the batch to another one.
-    if (!state.draining)
-        submission.head.owner = state.self.id;
-    submission.head.ownerIncarnation = state.self.incarnation;
+    const Node owner = ownerFor(context, event.order->model);
+    submission.head.owner = owner.id;
+    submission.head.ownerIncarnation = owner.incarnation;
     submission.head.total = static_cast<std::uint32_t>(event.order->items.size());
     submission.head.model = event.order->model;
     submission.head.expectedTokens = expectedTokensOf(*event.order);
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -2,8 +2,6 @@
 
 #include "fleet_rows.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -176,7 +174,8 @@
         state.beating = true;
         state.nextBeat = this->now + state.settings.presence.beatPeriod;
         ++state.beats;
-        this->actions.emplace_back(WriteBeat{{state.settings.self, state.beats, state.draining}});
+        this->actions.emplace_back(WriteBeat{
+                {state.settings.self, state.beats, state.draining, state.settings.capacity}});
     }
 
     bool holdsLease() const
@@ -215,8 +214,7 @@
         }
         if (!state.leaseFreeSince)
             state.leaseFreeSince = this->now;
-        const std::size_t rank = takeoverRank(ordersKey, liveNodes(state.presence, this->now),
-                                              state.settings.self.id);
+        const std::size_t rank = takeoverRank(state.presence, ordersKey, this->now);
         if (this->now - *state.leaseFreeSince >= state.settings.takeoverStep * rank)
             this->writeLease({state.settings.self.id, state.settings.self.incarnation, {}});
     }
@@ -317,17 +315,4 @@
     return std::min(due, dueAt(state.orders).value_or(due));
 }
 
-std::size_t takeoverRank(const std::string &key, const std::vector<Node> &nodes, const NodeId &self)
-{
-    const auto scoreOf = [&](const NodeId &node) {
-        return XXH3_64bits_withSeed(key.data(), key.size(),
-                                    XXH3_64bits(node.value.data(), node.value.size()));
-    };
-    const std::uint64_t own = scoreOf(self);
-    return static_cast<std::size_t>(
-            std::count_if(nodes.begin(), nodes.end(), [&](const Node &node) {
-                return node.id != self && scoreOf(node.id) > own;
-            }));
-}
-
 } // namespace geraniumpulley::core
--- a/packages/core/src/fleet/presence.cpp
+++ b/packages/core/src/fleet/presence.cpp
@@ -1,8 +1,35 @@
 #include <geraniumpulley/core/fleet/presence.hpp>
 
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace geraniumpulley::core {
+namespace {
+
+// A node with less than this share of the largest capacity owns work only when no other is left.
+constexpr std::uint32_t leastCapacityPercent = 50;
+
+bool isSilent(const Presence &presence, const KnownBeat &known, Time now)
+{
+    return now - known.heardAt > presence.settings.silenceLimit;
+}
+
+bool mayTakeOver(const Presence &presence, const KnownBeat &known, Time now)
+{
+    return !known.beat.leaving
+           && (known.beat.node.id == presence.self || !isSilent(presence, known, now));
+}
+
+std::uint64_t scoreOf(const std::string &key, const NodeId &node)
+{
+    return XXH3_64bits_withSeed(key.data(), key.size(),
+                                XXH3_64bits(node.value.data(), node.value.size()));
+}
+
+} // namespace
 
 Presence makePresence(NodeId self, PresenceSettings settings, Time now)
 {
@@ -53,11 +80,41 @@
 {
     std::vector<Node> nodes;
     for (const auto &[id, known] : presence.nodes) {
-        const bool isSilent = now - known.heardAt > presence.settings.silenceLimit;
-        if (!known.beat.leaving && (id == presence.self || !isSilent))
+        if (mayTakeOver(presence, known, now))
             nodes.push_back(known.beat.node);
     }
     return nodes;
 }
 
+std::vector<Node> rankNodes(const Presence &presence, const std::string &key, Time now)
+{
+    std::vector<const NodeBeat *> beats;
+    std::uint32_t largest = 0;
+    for (const auto &[id, known] : presence.nodes) {
+        if (!mayTakeOver(presence, known, now))
+            continue;
+        beats.push_back(&known.beat);
+        largest = std::max(largest, known.beat.capacity);
+    }
+    const auto orderOf = [&](const NodeBeat &beat) {
+        const bool isLarge = beat.capacity >= largest * leastCapacityPercent / 100;
+        return std::tuple(!isLarge, ~scoreOf(key, beat.node.id), beat.node.id);
+    };
+    std::sort(beats.begin(), beats.end(),
+              [&](const NodeBeat *a, const NodeBeat *b) { return orderOf(*a) < orderOf(*b); });
+    std::vector<Node> nodes;
+    nodes.reserve(beats.size());
+    for (const NodeBeat *beat : beats)
+        nodes.push_back(beat->node);
+    return nodes;
+}
+
+std::size_t takeoverRank(const Presence &presence, const std::string &key, Time now)
+{
+    const std::vector<Node> nodes = rankNodes(presence, key, now);
+    const auto self = std::find_if(nodes.begin(), nodes.end(),
+                                   [&](const Node &node) { return node.id == presence.self; });
+    return static_cast<std::size_t>(self - nodes.begin());
+}
+
 } // namespace geraniumpulley::core
--- a/packages/core/tests/fleet/unit-presence.cpp
+++ b/packages/core/tests/fleet/unit-presence.cpp
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace geraniumpulley::core;
 using namespace std::chrono_literals;
 
@@ -78,3 +83,57 @@
     CHECK(live[0].id.value == "self");
     CHECK_FALSE(isGone(presence, {"other"}, 1, start));
 }
+
+TEST_CASE("ranks of a takeover differ from node to node and name one first node")
+{
+    std::vector<std::size_t> ranks;
+    for (const char *self : {"a", "b", "c", "d"}) {
+        Presence presence = makePresence({self}, {}, start);
+        for (const char *id : {"a", "b", "c", "d"})
+            noteBeat(presence, makeBeat(id, 1, 1), start);
+        ranks.push_back(takeoverRank(presence, "key", start));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    CHECK(ranks == std::vector<std::size_t>{0, 1, 2, 3});
+}
+
+TEST_CASE("nodes with little processor time take work last, and leaving or silent ones none")
+{
+    Presence presence = makePresence({"self"}, {}, start);
+    const auto beat = [&](const char *id, std::uint32_t capacity, bool leaving = false) {
+        NodeBeat beat = makeBeat(id, 1, 1);
+        beat.capacity = capacity;
+        beat.leaving = leaving;
+        noteBeat(presence, beat, start);
+    };
+    beat("small", 120);
+    beat("large", 500);
+    beat("medium", 250);
+    beat("leaving", 500, true);
+    hearSelf(presence, start, start + 1s);
+    for (const char *key : {"a", "b", "c", "d", "e"}) {
+        const std::vector<Node> nodes = rankNodes(presence, key, start + 1s);
+        REQUIRE(nodes.size() == 4);
+        // This node's beat does not tell its capacity.
+        CHECK((nodes[0].id.value == "large" || nodes[0].id.value == "medium"));
+        CHECK((nodes[1].id.value == "large" || nodes[1].id.value == "medium"));
+    }
+    CHECK(rankNodes(presence, "a", start + 3s).size() == 1);
+}
+
+TEST_CASE("keys spread over nodes of equal capacity, and keep their node while it lives")
+{
+    Presence presence = makePresence({"n0"}, {}, start);
+    for (int i = 0; i < 10; ++i)
+        noteBeat(presence, makeBeat("n" + std::to_string(i), 1, 1), start);
+    std::set<std::string> owners;
+    for (int i = 0; i < 40; ++i) {
+        const std::string key = "model-" + std::to_string(i);
+        const std::vector<Node> before = rankNodes(presence, key, start);
+        owners.insert(before[0].id.value);
+        Presence fewer = presence;
+        fewer.nodes.erase(before[5].id);
+        CHECK(rankNodes(fewer, key, start)[0].id == before[0].id);
+    }
+    CHECK(owners.size() >= 8);
+}
--- a/packages/entry/include/geraniumpulley/entry/settings.hpp
+++ b/packages/entry/include/geraniumpulley/entry/settings.hpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/core/configuration/configuration.hpp>
 #include <geraniumpulley/core/time.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
     std::string storeAddress;
     std::vector<std::string> seeds; ///< Peer addresses of other nodes; may be stale.
     core::Duration stopLimit = std::chrono::seconds(8); ///< From the stop signal to the kill.
+    /// Processor time that the process may use, in thousandths of a core; 0 when it is not known.
+    std::uint32_t capacity = 0;
     core::Duration leaseTime = std::chrono::seconds(3); ///< Of the lease on weight orders.
 
     bool operator==(const Settings &) const = default;
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -340,6 +340,7 @@
 {
     core::FleetSettings fleet;
     fleet.self = self;
+    fleet.capacity = settings.capacity;
     fleet.leaseTime = settings.leaseTime;
     auto duty = std::make_shared<FleetDuty>(FleetDuty{
             parts,
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -19,6 +19,19 @@
     return address;
 }
 
+std::uint32_t readCapacity(JsonReader &reader)
+{
+    constexpr double thousandths = 1000;
+    constexpr double largest = 1000; // Cores; more than any machine has.
+    const double share = reader.readReal("core_share", 0);
+    const double speed = reader.readReal("core_speed", 1);
+    const double cores = share * speed;
+    if (cores >= 0 && cores <= largest)
+        return static_cast<std::uint32_t>(cores * thousandths);
+    reader.report("core_share", "is out of range", "0 to 1000 cores");
+    return 0;
+}
+
 } // namespace
 
 bool isForPlatform(const std::string &text)
@@ -49,6 +62,7 @@
     settings.seeds = reader.readStrings("seeds");
     settings.stopLimit = reader.readMilliseconds("stop_limit_ms", shortestTime, settings.stopLimit);
     settings.leaseTime = reader.readMilliseconds("lease_time_ms", shortestTime, settings.leaseTime);
+    settings.capacity = readCapacity(reader);
     if (settings.node.empty())
         reader.report("node", "is empty", "a non-empty name");
     if (!settings.metricsAddress.empty() && !net::detail::parseAddress(settings.metricsAddress))
