Load engines first that the newest batch cannot use

A model that had just loaded one version loaded the next (nyno v4, v5 at 17 s and 18 s) while both engines of another were too old for its batch from 16.1 s on (loaded at 22.1 s): 52 items waited. Change: heads tell the least version of their batch; engines below that of the newest batch come first, then as before. A load's end is looked for after 1.0 s and each 0.1 s, not 0.95 s and 0.3 s. Test: unit-weight_orders, 'engines that the newest batch cannot use load first'.

--- a/packages/codec/src/batch_rows.cpp
+++ b/packages/codec/src/batch_rows.cpp
@@ -15,7 +15,7 @@
 using detail::unpack;
 
 using HeadWire = std::tuple<std::string, std::uint64_t, bool, std::uint32_t, std::int64_t,
-                            std::string, std::uint64_t>;
+                            std::string, std::uint64_t, std::uint64_t>;
 using ResultWire =
         std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
 using PartialWire =
@@ -52,7 +52,8 @@
 std::string encodeHead(const core::BatchHead &head)
 {
     return pack(HeadWire{head.owner.value, head.ownerIncarnation, head.ended, head.total,
-                         head.submittedAt.count(), head.model, head.expectedTokens});
+                         head.submittedAt.count(), head.model, core::number(head.leastVersion),
+                         head.expectedTokens});
 }
 
 core::Result<core::BatchHead> decodeHead(const core::BatchId &id, const std::string &bytes,
@@ -61,11 +62,20 @@
     const auto wire = unpack<HeadWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[owner, incarnation, ended, total, submittedAt, model, expectedTokens] =
-            wire.value();
-    return core::BatchHead{id,    {owner},        incarnation,
-                           ended, total,          core::Duration(submittedAt),
-                           model, expectedTokens, version};
+    const auto &[owner, incarnation, ended, total, submittedAt, model, leastVersion,
+                 expectedTokens] = wire.value();
+    core::BatchHead head;
+    head.id = id;
+    head.owner = {owner};
+    head.ownerIncarnation = incarnation;
+    head.ended = ended;
+    head.total = total;
+    head.submittedAt = core::Duration(submittedAt);
+    head.model = model;
+    head.leastVersion = core::WeightVersion{leastVersion};
+    head.expectedTokens = expectedTokens;
+    head.version = version;
+    return head;
 }
 
 std::string encodeResult(const core::ItemResult &result)
--- a/packages/codec/tests/unit-batch_rows.cpp
+++ b/packages/codec/tests/unit-batch_rows.cpp
@@ -6,8 +6,15 @@
 
 TEST_CASE("rows of batches come back as they were")
 {
-    const core::BatchHead head{{"b"}, {"node"},           7, true, 2, core::Duration(5), "m",
-                               640,   core::RowVersion{9}};
+    core::BatchHead head;
+    head.owner = {"node"};
+    head.ownerIncarnation = 7;
+    head.ended = true;
+    head.total = 2;
+    head.submittedAt = core::Duration(5);
+    head.model = "m";
+    head.leastVersion = core::WeightVersion{6};
+    head.expectedTokens = 640;
     const auto decodedHead = codec::decodeHead({"b"}, codec::encodeHead(head), core::RowVersion{9});
     REQUIRE(decodedHead.has_value());
     CHECK(decodedHead.value().owner == head.owner);
@@ -16,6 +23,7 @@
     CHECK(decodedHead.value().total == 2);
     CHECK(decodedHead.value().submittedAt == core::Duration(5));
     CHECK(decodedHead.value().model == "m");
+    CHECK(decodedHead.value().leastVersion == core::WeightVersion{6});
     CHECK(decodedHead.value().expectedTokens == 640);
     CHECK(decodedHead.value().version == core::RowVersion{9});
 
--- a/packages/core/include/geraniumpulley/core/batch/batch_head.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_head.hpp
@@ -26,6 +26,7 @@
     std::uint32_t total = 0; ///< Items of the batch.
     Duration submittedAt{}; ///< On the store's clock.
     std::string model; ///< That makes its texts.
+    WeightVersion leastVersion{}; ///< Older weights may not make them.
     std::uint64_t expectedTokens = 0; ///< Of all its texts together, as the trainer guesses.
     RowVersion version{};
 };
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -25,6 +25,8 @@
     std::shared_ptr<const TargetMap> targets;
     bool targetsKnown = false; ///< Their table has been read; else `targets` is empty.
     std::shared_ptr<const WeightMap> desiredWeights;
+    /// That the newest batch of each model allows; never null once `targets` is not.
+    std::shared_ptr<const WeightMap> leastWeights;
     std::shared_ptr<const EngineShares> shares; ///< Never null once `targets` is not.
     std::shared_ptr<const BatchMap> batches; ///< Null until the table was read.
     Presence presence;
--- a/packages/core/include/geraniumpulley/core/fleet/engine_shares.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/engine_shares.hpp
@@ -22,6 +22,9 @@
 /// \return the mean over the batches that are known of each model.
 ModelWork workOfBatches(const BatchMap &batches);
 
+/// \return the highest least version that the batches of each model ask for.
+WeightMap leastWeightsOf(const BatchMap &batches);
+
 /// \return the models that the engines know, in order.
 std::vector<std::string> modelsOf(const std::vector<const FleetTarget *> &engines);
 
--- a/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
@@ -50,8 +50,9 @@
     /// Share of the engines that load at once; the platform's store slows down beyond it.
     std::uint32_t loadingPercent = 20;
     std::uint32_t leastLoading = 2;
-    Duration loadTime = std::chrono::milliseconds(950); ///< Expected; the state is asked then.
-    Duration checkPeriod = std::chrono::milliseconds(300); ///< Of an engine that still loads.
+    /// Expected, with what an engine's report lags behind; the state is asked then.
+    Duration loadTime = std::chrono::milliseconds(1000);
+    Duration checkPeriod = std::chrono::milliseconds(100); ///< Of an engine that still loads.
     Duration answerLimit = std::chrono::milliseconds(1500); ///< Without any answer.
     Duration retryDelay = std::chrono::milliseconds(400); ///< After a failed or refused try.
 };
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -113,6 +113,7 @@
     submission.head.ownerIncarnation = owner.incarnation;
     submission.head.total = static_cast<std::uint32_t>(event.order->items.size());
     submission.head.model = event.order->model;
+    submission.head.leastVersion = event.order->leastVersion;
     submission.head.expectedTokens = expectedTokensOf(*event.order);
     submission.head.submittedAt =
             context.now.time_since_epoch() + *state.directory->storeClockOffset;
--- a/packages/core/src/fleet/engine_shares.cpp
+++ b/packages/core/src/fleet/engine_shares.cpp
@@ -192,6 +192,16 @@
     return work;
 }
 
+WeightMap leastWeightsOf(const BatchMap &batches)
+{
+    WeightMap least;
+    for (const auto &[id, head] : batches) {
+        WeightVersion &version = least[head.model];
+        version = std::max(version, head.leastVersion);
+    }
+    return least;
+}
+
 std::vector<std::string> modelsOf(const std::vector<const FleetTarget *> &engines)
 {
     std::set<std::string> models;
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -239,6 +239,7 @@
                 targets->emplace(id, known.target);
             next.targets = std::move(targets);
             next.desiredWeights = std::make_shared<WeightMap>(state.desiredWeights);
+            next.leastWeights = std::make_shared<WeightMap>(leastWeightsOf(state.batches));
             next.shares = this->shareAllEngines(*next.targets);
             if (state.batchesKnown)
                 next.batches = std::make_shared<BatchMap>(state.batches);
@@ -294,6 +295,7 @@
         state.followers[i].settings = follows[i];
     state.published.targets = std::make_shared<TargetMap>();
     state.published.desiredWeights = std::make_shared<WeightMap>();
+    state.published.leastWeights = std::make_shared<WeightMap>();
     state.published.shares = std::make_shared<EngineShares>();
     state.published.presence = state.presence;
     return state;
--- a/packages/core/src/fleet/weight_orders.cpp
+++ b/packages/core/src/fleet/weight_orders.cpp
@@ -1,6 +1,7 @@
 #include <geraniumpulley/core/fleet/weight_orders.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace geraniumpulley::core {
 namespace {
@@ -10,6 +11,14 @@
     const FleetTarget *target = nullptr;
     std::string model;
     WeightVersion version{};
+    bool isTooOld = false; ///< For the newest batch of the model.
+};
+
+// Engines of a model that its newest batch may use, and those that have the desired version.
+struct ModelState
+{
+    std::size_t usable = 0;
+    std::size_t upToDate = 0;
 };
 
 WeightVersion knownVersion(const WeightOrders &orders, const FleetTarget &target,
@@ -22,27 +31,36 @@
     return std::max(told, versionOf(position->second.weights, model));
 }
 
-// Engines of one service whose assigned model is behind, those of the model that is furthest from
-// complete first, so that no model waits for all the loads of another.
+// Engines of one service whose assigned model is behind. Those that the newest batch of their model
+// cannot use come first: while loads queue up, an engine that is one version behind still serves.
+// Then those of the model that is furthest from complete, so that no model waits for all the loads
+// of another.
 void addNeeds(const WeightOrders &orders, const Directory &directory, const ServiceName &service,
               std::vector<EngineNeed> &needs)
 {
     const EngineShares &shares = *directory.shares;
-    std::map<std::string, std::size_t> upToDate;
+    std::map<std::string, ModelState> models;
     std::vector<EngineNeed> behind;
     for (const FleetTarget *target : servingTargets(*directory.targets, service)) {
         const auto model = shares.find(target->target.id);
         if (model == shares.end())
             continue;
         const WeightVersion desired = versionOf(*directory.desiredWeights, model->second);
-        if (knownVersion(orders, *target, model->second) < desired)
-            behind.push_back({target, model->second, desired});
+        const WeightVersion known = knownVersion(orders, *target, model->second);
+        const bool isTooOld = known < versionOf(*directory.leastWeights, model->second);
+        ModelState &state = models[model->second];
+        state.usable += isTooOld ? 0 : 1;
+        if (known < desired)
+            behind.push_back({target, model->second, desired, isTooOld});
         else
-            ++upToDate[model->second];
+            ++state.upToDate;
     }
-    std::stable_sort(behind.begin(), behind.end(), [&](const auto &a, const auto &b) {
-        return upToDate[a.model] < upToDate[b.model];
-    });
+    const auto orderOf = [&](const EngineNeed &need) {
+        const ModelState &state = models.at(need.model);
+        return std::tuple(!need.isTooOld, need.isTooOld ? state.usable : state.upToDate);
+    };
+    std::stable_sort(behind.begin(), behind.end(),
+                     [&](const auto &a, const auto &b) { return orderOf(a) < orderOf(b); });
     needs.insert(needs.end(), behind.begin(), behind.end());
 }
 
@@ -88,7 +106,8 @@
 std::vector<AskEngineState> planOrders(WeightOrders &orders, const Directory &directory, Time now)
 {
     std::vector<AskEngineState> actions;
-    if (!directory.routing || !directory.targets || !directory.desiredWeights || !directory.shares)
+    if (!directory.routing || !directory.targets || !directory.desiredWeights || !directory.shares
+        || !directory.leastWeights)
         return actions;
     forgetEnded(orders, directory);
     std::size_t underWay = 0;
--- a/packages/core/tests/batch/batch_world.cpp
+++ b/packages/core/tests/batch/batch_world.cpp
@@ -155,6 +155,7 @@
     directory->routing = this->routing;
     directory->targets = this->targets;
     directory->desiredWeights = std::make_shared<WeightMap>();
+    directory->leastWeights = std::make_shared<WeightMap>();
     directory->shares = std::make_shared<EngineShares>();
     auto heads = std::make_shared<BatchMap>();
     for (const auto &[id, stored] : this->rows)
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -40,6 +40,7 @@
         auto directory = std::make_shared<Directory>();
         directory->routing = routing;
         directory->targets = targets;
+        directory->leastWeights = std::make_shared<WeightMap>();
         directory->shares = std::make_shared<EngineShares>();
         directory->batches = std::make_shared<BatchMap>();
         directory->storeClockOffset = Duration{};
--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -15,8 +15,9 @@
     Directory directory;
     TargetMap targets;
     WeightMap desired;
+    WeightMap least;
 
-    explicit OrdersWorld(std::size_t engines)
+    explicit OrdersWorld(std::size_t engines, const std::vector<std::string> &models = {"m"})
     {
         auto routing = std::make_shared<RoutingTable>();
         routing->services.push_back({{"engines"}, 0, true});
@@ -24,11 +25,13 @@
         for (std::size_t i = 0; i < engines; ++i) {
             FleetTarget target;
             target.target = {{"e" + std::to_string(i)}, {"engines"}, "", "", false};
-            target.weights["m"] = WeightVersion{1};
+            for (const std::string &model : models)
+                target.weights[model] = WeightVersion{1};
             target.startedAt = 1;
             this->targets.emplace(target.target.id, target);
         }
-        this->desired["m"] = WeightVersion{2};
+        for (const std::string &model : models)
+            this->desired[model] = WeightVersion{2};
         this->publish();
     }
 
@@ -36,6 +39,7 @@
     {
         this->directory.targets = std::make_shared<TargetMap>(this->targets);
         this->directory.desiredWeights = std::make_shared<WeightMap>(this->desired);
+        this->directory.leastWeights = std::make_shared<WeightMap>(this->least);
         this->directory.shares = std::make_shared<EngineShares>(
                 shareEngines(servingTargets(this->targets, {"engines"}), {}, this->desired));
     }
@@ -93,8 +97,8 @@
     OrdersWorld world(1);
     const TargetId engine = world.plan(start)[0].target.id;
     CHECK_FALSE(world.hear(engine, makeState(1, true), start).has_value());
-    CHECK(world.plan(start + 100ms).empty());
-    CHECK(world.plan(start + 350ms).size() == 1);
+    CHECK(world.plan(start + 50ms).empty());
+    CHECK(world.plan(start + 110ms).size() == 1);
 }
 
 TEST_CASE("an order without an answer is followed by a question, not by a blind repetition")
@@ -118,9 +122,9 @@
     REQUIRE(world.hear(asked[0].target.id, makeState(1), start).has_value());
     noteOrderReply(world.orders, asked[0].target.id, WeightOrderReply::Accepted, start);
     CHECK(world.plan(start + 500ms).empty());
-    REQUIRE(!world.plan(start + 960ms).empty());
-    CHECK_FALSE(world.hear(asked[0].target.id, makeState(2), start + 960ms).has_value());
-    CHECK(world.plan(start + 961ms).size() == 1);
+    REQUIRE(!world.plan(start + 1010ms).empty());
+    CHECK_FALSE(world.hear(asked[0].target.id, makeState(2), start + 1010ms).has_value());
+    CHECK(world.plan(start + 1011ms).size() == 1);
 }
 
 TEST_CASE("a restarted engine begins anew")
@@ -143,3 +147,24 @@
     REQUIRE(order.has_value());
     CHECK(order->version == WeightVersion{4});
 }
+
+TEST_CASE("engines that the newest batch cannot use load first, those of the model with fewest")
+{
+    OrdersWorld world(8, {"a", "b"});
+    // Of the four engines of each model one is up to date; `b` has three that are too old.
+    std::map<std::string, std::size_t> seen;
+    for (auto &[id, target] : world.targets) {
+        const std::string &model = world.directory.shares->at(id);
+        const std::size_t place = seen[model]++;
+        target.weights["a"] = target.weights["b"] = WeightVersion{1};
+        const std::uint64_t behind = model == "b" ? 3 : 4;
+        target.weights[model] = WeightVersion{place == 0 ? 5 : behind};
+    }
+    world.desired = {{"a", WeightVersion{5}}, {"b", WeightVersion{5}}};
+    world.least = {{"a", WeightVersion{4}}, {"b", WeightVersion{4}}};
+    world.publish();
+    for (const AskEngineState &asked : world.plan(start)) {
+        CHECK(world.directory.shares->at(asked.target.id) == "b");
+        CHECK(world.targets.at(asked.target.id).weights.at("b") == WeightVersion{3});
+    }
+}
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -15,7 +15,13 @@
 
 core::BatchHead makeHead()
 {
-    return {id, {"node"}, 7, false, 2, core::Duration(5), "m", 640, core::RowVersion{9}};
+    core::BatchHead head;
+    head.id = id;
+    head.owner = {"node"};
+    head.ownerIncarnation = 7;
+    head.total = 2;
+    head.version = core::RowVersion{9};
+    return head;
 }
 
 std::vector<platform::Row> rowsOf(const platform::Transaction &transaction)
