A fault soak: seeded faults from outside, promises checked from what clients see

Real nodes and stand-ins on loopback, a proxy on each path (delayed, silent, cut one way, refusing, reset), nodes killed, stopped, frozen, hung up and started again, the store and workers frozen, the operator's changes meanwhile. Checked: whole own answers, at most once, 'not run' is true, positions of results never change, texts, scores and versions are the engines', recovery within 12 s.

--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -56,6 +56,12 @@
     return "http://" + this->addresses.at(name);
 }
 
+std::string PlatformFleet::wayTo(const std::string &name, const std::string &process)
+{
+    const auto way = this->ways.find(name);
+    return way == this->ways.end() ? this->addresses.at(process) : way->second;
+}
+
 void PlatformFleet::startNode(const std::string &name)
 {
     const std::string path = this->directory + "/" + name + ".json";
@@ -67,7 +73,7 @@
             R"({{"interface": "platform", "node": "{}", "data_centre": "zone",
  "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0", "store": "{}",
  "seeds": [{}], "stop_limit_ms": 8000}})",
-            name, this->addresses.at("store"), seeds);
+            name, this->wayTo("store/" + name, "store"), seeds);
     this->start(name, {DAEMON_PROGRAM, "--settings", path}, "node");
     const std::vector<std::string> lines = this->process(name).lines();
     for (const char *door : {"callers", "readiness"})
@@ -87,16 +93,13 @@
     this->writeRow("servers", name,
                    fmt::format(R"({{"service":"{}","address":"{}","zone":"zone","version":"v1",)"
                                R"("slots":8,"state":"ready",{}"sequence":0,"born":1}})",
-                               service, this->addresses.at(name), models));
+                               service, this->wayTo(name, name), models));
 }
 
 bool PlatformFleet::writeRow(const std::string &table, const std::string &key,
                              const std::string &content)
 {
-    const std::string body = fmt::format(
-            R"({{"expected":[],"writes":[{{"table":"{}","part":"","key":"{}","value":"{}"}}],)"
-            R"("remove":[]}})",
-            table, key, toBase64(content));
+    const std::string body = rowTransaction(table, key, content);
     return fetch(this->uriOf("store") + "/-/rows-tx", "POST", body).status == statusOk;
 }
 
@@ -131,6 +134,15 @@
     return fetch(this->uriOf(worker) + "/_ledger", "GET").body;
 }
 
+std::string rowTransaction(const std::string &table, const std::string &key,
+                           const std::string &content)
+{
+    return fmt::format(
+            R"({{"expected":[],"writes":[{{"table":"{}","part":"","key":"{}","value":"{}"}}],)"
+            R"("remove":[]}})",
+            table, key, toBase64(content));
+}
+
 std::string routingText(std::uint64_t version)
 {
     return fmt::format(
--- a/tests/live/platform_fleet.hpp
+++ b/tests/live/platform_fleet.hpp
@@ -38,14 +38,21 @@
     std::map<std::string, std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> nodes;
     std::map<std::string, std::string> addresses; ///< Of doors, such as "node-a/callers".
+    /// Where a node reaches the store, and all nodes a worker, when a proxy stands in between.
+    std::map<std::string, std::string> ways;
     std::string directory;
 
 private:
     std::string uriOf(const std::string &name);
+    std::string wayTo(const std::string &name, const std::string &process);
     void start(const std::string &name, const std::vector<std::string> &command,
                const std::string &key);
 };
 
+/// The body of a transaction that writes one row, whatever it held before.
+std::string rowTransaction(const std::string &table, const std::string &key,
+                           const std::string &content);
+
 /// The routing table of a small deployment.
 std::string routingText(std::uint64_t version);
 
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -46,6 +46,14 @@
     return fleet.waitFor([&] { return readResults(fleet, node, batch).size() == itemsOfBatch; });
 }
 
+bool hasLogged(live::PlatformFleet &fleet, const std::string &process, const std::string &text)
+{
+    const std::vector<std::string> lines = fleet.process(process).lines();
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string &line) {
+        return line.find(text) != std::string::npos;
+    });
+}
+
 bool submit(live::PlatformFleet &fleet, const std::string &node, const std::string &batch)
 {
     return fleet.waitFor([&] {
@@ -106,6 +114,9 @@
     startDeployment(fleet);
     REQUIRE(submit(fleet, "node-a", "b1"));
     fleet.process("node-a").signal(SIGTERM);
+    // One signal more changes nothing.
+    REQUIRE(fleet.waitFor([&] { return hasLogged(fleet, "node-a", "event=draining"); }));
+    fleet.process("node-a").signal(SIGTERM);
     CHECK(waitForBatch(fleet, "node-b", "b1"));
     int status = -1;
     REQUIRE(fleet.waitFor([&] { return fleet.process("node-a").hasEnded(status); }));
--- /dev/null
+++ b/tests/soak/injector.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "ledger.hpp"
+#include "load.hpp"
+#include "proxies.hpp"
+#include "schedule.hpp"
+
+#include "../live/platform_fleet.hpp"
+
+#include <geraniumpulley/net/http_caller.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+/// Injects the faults of a schedule into the processes of a run and takes them back.
+namespace soak {
+
+class Injector
+{
+public:
+    Injector(live::PlatformFleet &fleet, Proxies &proxies, Load &load, Ledger &ledger);
+
+    /// Runs a schedule to its end; all faults are taken back then.
+    void run(const std::vector<Fault> &faults);
+
+private:
+    using Time = geraniumpulley::core::Time;
+
+    void apply(const Fault &fault);
+    void revert(const Fault &fault);
+    void restart(const std::string &node, Time notAfter);
+    void noteEnd(const std::string &node, int status);
+    void changeRouting();
+    void nameWeights();
+    void writeRow(const std::string &key, const std::string &content);
+
+    live::PlatformFleet &fleet;
+    Proxies &proxies;
+    Load &load;
+    Ledger &ledger;
+    std::multimap<Time, std::function<void()>> agenda;
+    std::set<std::string> killed; ///< Nodes that this run has sent SIGKILL.
+    std::set<std::string> stopping; ///< Nodes that this run has sent SIGTERM.
+    std::unique_ptr<geraniumpulley::net::HttpCaller> operatorCaller;
+    std::string storeAddress;
+    std::atomic<bool> writing = false; ///< The operator writes one row after the other.
+    std::uint64_t routingVersion = 3;
+    std::uint64_t weightVersion = 1;
+};
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,186 @@
+#include "injector.hpp"
+
+#include <geraniumpulley/runtime/clock.hpp>
+
+#include <cpprest/json.h>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <pplx/threadpool.h>
+
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace geraniumpulley;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// From the users' bounds: service is back within recovery_s, and a batch is due after due_ms.
+constexpr seconds recoveryLimit(12);
+constexpr milliseconds batchDue(7500);
+constexpr int libraryThreads = 4;
+constexpr milliseconds askPeriod(50);
+
+const std::vector<std::string> nodes{"node-a", "node-b", "node-c"};
+const std::vector<std::string> plainWorkers{"orders-1", "orders-2"};
+const std::vector<std::string> engines{"engine-1", "engine-2", "engine-3"};
+
+struct Run
+{
+    soak::Proxies proxies;
+    live::PlatformFleet fleet;
+    soak::Ledger ledger;
+    soak::Subjects subjects;
+    std::vector<std::string> doors;
+
+    std::string openLink(const std::string &name)
+    {
+        this->subjects.links.push_back(name);
+        return this->proxies.open(name);
+    }
+
+    void startWorker(const std::string &name, const std::string &service, const std::string &model)
+    {
+        this->fleet.ways[name] = this->openLink(name);
+        this->fleet.startWorker(name, service, model);
+        this->proxies.connect(name, this->fleet.addresses.at(name));
+        this->subjects.workers.push_back(name);
+    }
+
+    void startNode(const std::string &name)
+    {
+        this->fleet.ways["store/" + name] = this->openLink("store/" + name);
+        this->proxies.connect("store/" + name, this->fleet.addresses.at("store"));
+        this->fleet.startNode(name);
+        this->doors.push_back(this->openLink("door/" + name));
+        this->proxies.connect("door/" + name, this->fleet.addresses.at(name + "/callers"));
+        this->subjects.nodes.push_back(name);
+    }
+
+    bool start()
+    {
+        if (!this->fleet.writeRow("op", "config", live::routingText(3)))
+            return false;
+        for (const std::string &name : plainWorkers)
+            this->startWorker(name, "orders", "");
+        for (const std::string &name : engines)
+            this->startWorker(name, "engines", "m");
+        for (const std::string &name : nodes)
+            this->startNode(name);
+        return this->fleet.waitUntilReady();
+    }
+
+    // Every node serves a call within the time that recovery may take.
+    void checkRecovery(core::Time limit)
+    {
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            bool isServed = false;
+            while (!isServed && runtime::now() < limit) {
+                const std::string target = fmt::format("/lookup/after-{}", i);
+                const live::HttpReply reply =
+                        this->fleet.call(nodes[i], "POST", target, fmt::format("after-{}", i), "x");
+                isServed = reply.status == 200;
+                if (!isServed)
+                    std::this_thread::sleep_for(askPeriod);
+            }
+            if (!isServed)
+                this->ledger.violate(nodes[i] + " does not serve after the faults");
+        }
+    }
+
+    soak::RunCounts countRuns()
+    {
+        soak::RunCounts runs;
+        for (const std::string &worker : plainWorkers) {
+            const web::json::value ids = web::json::value::parse(this->fleet.ledger(worker));
+            for (const web::json::value &id : ids.as_array())
+                ++runs[id.as_string()];
+        }
+        return runs;
+    }
+};
+
+void printCounts(const soak::Ledger &ledger)
+{
+    std::string line = "event=load";
+    for (const auto &[what, count] : ledger.counts())
+        line += fmt::format(" {}={}", what, count);
+    std::cout << line << std::endl;
+}
+
+/// Prints the last lines of each node, for the trace of a failed run.
+void printLogs(live::PlatformFleet &fleet, std::size_t count)
+{
+    for (const std::string &node : nodes) {
+        const std::vector<std::string> lines = fleet.process(node).lines();
+        for (std::size_t i = lines.size() > count ? lines.size() - count : 0; i < lines.size(); ++i)
+            std::cout << node << " " << lines[i] << "\n";
+    }
+}
+
+/// \return whether all promises were kept.
+bool runSeed(std::uint64_t seed, core::Duration length, std::size_t logLines)
+{
+    Run run;
+    if (!run.start()) {
+        std::cout << "event=not_started seed=" << seed << std::endl;
+        return false;
+    }
+    soak::LoadSettings settings;
+    settings.doors = run.doors;
+    settings.seed = seed;
+    {
+        soak::Load load(std::move(settings), run.ledger);
+        soak::Injector injector(run.fleet, run.proxies, load, run.ledger);
+        injector.run(soak::makeSchedule(seed, length, run.subjects));
+        const core::Time calm = runtime::now();
+        run.checkRecovery(calm + recoveryLimit);
+        load.finish(calm + recoveryLimit + batchDue);
+    }
+    for (const std::string &wrong : soak::checkCalls(run.ledger.calls(), run.countRuns()))
+        run.ledger.violate(wrong);
+    printCounts(run.ledger);
+    const std::vector<std::string> violations = run.ledger.violations();
+    for (const std::string &violation : violations)
+        std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\""
+                  << std::endl;
+    if (!violations.empty())
+        printLogs(run.fleet, logLines);
+    std::cout << "event=seed_done seed=" << seed << " violations=" << violations.size()
+              << std::endl;
+    return violations.empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    // Before any other use of the library, which would start 40 threads.
+    crossplat::threadpool::initialize_with_threads(libraryThreads);
+    cxxopts::Options options("soak", "Runs nodes under random faults and checks what clients see.");
+    options.add_options()("seed", "First seed",
+                          cxxopts::value<std::uint64_t>()->default_value("1"))(
+            "count", "Seeds to run", cxxopts::value<std::uint64_t>()->default_value("1"))(
+            "seconds", "Length of the faults of a seed",
+            cxxopts::value<std::uint32_t>()->default_value("10"))(
+            "log-lines", "Lines of each node printed after a violation",
+            cxxopts::value<std::size_t>()->default_value("200"))("help", "Prints this");
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        const auto first = parsed["seed"].as<std::uint64_t>();
+        const seconds length(parsed["seconds"].as<std::uint32_t>());
+        std::uint64_t failed = 0;
+        for (std::uint64_t i = 0; i < parsed["count"].as<std::uint64_t>(); ++i)
+            failed += runSeed(first + i, length, parsed["log-lines"].as<std::size_t>()) ? 0 : 1;
+        std::cout << "event=soak_done failed=" << failed << std::endl;
+        return failed == 0 ? 0 : 1;
+    } catch (const std::exception &error) {
+        std::cerr << "soak: " << error.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/soak/proxies.cpp
@@ -0,0 +1,205 @@
+#include "proxies.hpp"
+
+#include <array>
+#include <chrono>
+#include <list>
+#include <stdexcept>
+
+namespace soak {
+namespace {
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t pieceBytes = 16 * 1024;
+constexpr auto delayOfPiece = std::chrono::milliseconds(40);
+// Between two looks at a fault that holds a piece back.
+constexpr auto holdPeriod = std::chrono::milliseconds(20);
+
+tcp::endpoint parse(const std::string &address)
+{
+    const std::size_t colon = address.find(':');
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+    return {boost::asio::ip::make_address(address.substr(0, colon)), port};
+}
+
+void closeWithReset(tcp::socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+enum class Direction { ToServer, ToClient };
+
+} // namespace
+
+struct Link
+{
+    explicit Link(boost::asio::io_context &io)
+        : acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+    }
+
+    tcp::acceptor acceptor;
+    std::string server;
+    LinkFault fault = LinkFault::None;
+    std::list<std::weak_ptr<struct Session>> sessions;
+};
+
+struct Session : std::enable_shared_from_this<Session>
+{
+    Session(boost::asio::io_context &io, std::shared_ptr<Link> link, tcp::socket client)
+        : link(std::move(link)), client(std::move(client)), server(io), holds{timer(io), timer(io)}
+    {
+    }
+
+    static boost::asio::steady_timer timer(boost::asio::io_context &io)
+    {
+        return boost::asio::steady_timer(io);
+    }
+
+    void start()
+    {
+        this->server.async_connect(parse(this->link->server),
+                                   [self = this->shared_from_this()](const ErrorCode &error) {
+                                       if (error)
+                                           return self->end();
+                                       self->read(Direction::ToServer);
+                                       self->read(Direction::ToClient);
+                                   });
+    }
+
+    void end()
+    {
+        closeWithReset(this->client);
+        closeWithReset(this->server);
+    }
+
+    void read(Direction direction)
+    {
+        auto &from = direction == Direction::ToServer ? this->client : this->server;
+        auto &piece = this->pieces.at(static_cast<std::size_t>(direction));
+        from.async_read_some(boost::asio::buffer(piece),
+                             [self = this->shared_from_this(), direction](const ErrorCode &error,
+                                                                          std::size_t bytes) {
+                                 if (error)
+                                     return self->finish(direction, error);
+                                 self->pass(direction, bytes, true);
+                             });
+    }
+
+    // The end of a stream is passed on, so that a half-closed connection stays one.
+    void finish(Direction direction, const ErrorCode &error)
+    {
+        if (error != boost::asio::error::eof || this->isHeld(direction))
+            return this->end();
+        ErrorCode ignored;
+        auto &to = direction == Direction::ToServer ? this->server : this->client;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    bool isHeld(Direction direction) const
+    {
+        const LinkFault fault = this->link->fault;
+        return fault == LinkFault::Silent
+               || (fault == LinkFault::OneWay && direction == Direction::ToServer);
+    }
+
+    void pass(Direction direction, std::size_t bytes, bool isNew)
+    {
+        const bool isDelayed = isNew && this->link->fault == LinkFault::Delayed;
+        if (!isDelayed && !this->isHeld(direction))
+            return this->write(direction, bytes);
+        auto &hold = this->holds.at(static_cast<std::size_t>(direction));
+        hold.expires_after(isDelayed ? delayOfPiece : holdPeriod);
+        hold.async_wait(
+                [self = this->shared_from_this(), direction, bytes](const ErrorCode &error) {
+                    if (!error)
+                        self->pass(direction, bytes, false);
+                });
+    }
+
+    void write(Direction direction, std::size_t bytes)
+    {
+        auto &to = direction == Direction::ToServer ? this->server : this->client;
+        auto &piece = this->pieces.at(static_cast<std::size_t>(direction));
+        boost::asio::async_write(
+                to, boost::asio::buffer(piece, bytes),
+                [self = this->shared_from_this(), direction](const ErrorCode &error, std::size_t) {
+                    if (error)
+                        return self->end();
+                    self->read(direction);
+                });
+    }
+
+    std::shared_ptr<Link> link;
+    tcp::socket client;
+    tcp::socket server;
+    std::array<boost::asio::steady_timer, 2> holds;
+    std::array<std::array<char, pieceBytes>, 2> pieces{};
+};
+
+namespace {
+
+void accept(boost::asio::io_context &io, const std::shared_ptr<Link> &link)
+{
+    link->acceptor.async_accept([&io, link](const ErrorCode &error, tcp::socket socket) {
+        if (error)
+            return;
+        if (link->fault == LinkFault::Refusing || link->server.empty()) {
+            closeWithReset(socket);
+        } else {
+            const auto session = std::make_shared<Session>(io, link, std::move(socket));
+            link->sessions.remove_if([](const auto &known) { return known.expired(); });
+            link->sessions.push_back(session);
+            session->start();
+        }
+        accept(io, link);
+    });
+}
+
+} // namespace
+
+Proxies::Proxies()
+    : work(boost::asio::make_work_guard(this->io)), thread([this] { this->io.run(); })
+{
+}
+
+Proxies::~Proxies()
+{
+    this->io.stop();
+    this->thread.join();
+}
+
+std::string Proxies::open(const std::string &name)
+{
+    const auto link = std::make_shared<Link>(this->io);
+    this->links[name] = link;
+    const std::string address =
+            "127.0.0.1:" + std::to_string(link->acceptor.local_endpoint().port());
+    boost::asio::post(this->io, [this, link] { accept(this->io, link); });
+    return address;
+}
+
+void Proxies::connect(const std::string &name, const std::string &server)
+{
+    boost::asio::post(this->io, [link = this->links.at(name), server] { link->server = server; });
+}
+
+void Proxies::setFault(const std::string &name, LinkFault fault)
+{
+    boost::asio::post(this->io, [link = this->links.at(name), fault] { link->fault = fault; });
+}
+
+void Proxies::reset(const std::string &name)
+{
+    boost::asio::post(this->io, [link = this->links.at(name)] {
+        for (const auto &known : link->sessions) {
+            if (const auto session = known.lock())
+                session->end();
+        }
+    });
+}
+
+} // namespace soak
