--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -151,14 +151,17 @@
 TEST_CASE("engines that the newest batch cannot use load first, those of the model with fewest")
 {
     OrdersWorld world(8, {"a", "b"});
-    // Of the four engines of each model one is up to date; `b` has three that are too old.
+    // All engines of `a` are one version behind, which its batches allow. Of those of `b` one is up to
+    // date, and three are too old.
     std::map<std::string, std::size_t> seen;
     for (auto &[id, target] : world.targets) {
         const std::string &model = world.directory.shares->at(id);
         const std::size_t place = seen[model]++;
         target.weights["a"] = target.weights["b"] = WeightVersion{1};
-        const std::uint64_t behind = model == "b" ? 3 : 4;
-        target.weights[model] = WeightVersion{place == 0 ? 5 : behind};
+        if (model == "a")
+            target.weights[model] = WeightVersion{4};
+        else
+            target.weights[model] = WeightVersion{place == 0 ? 5U : 3U};
     }
     world.desired = {{"a", WeightVersion{5}}, {"b", WeightVersion{5}}};
     world.least = {{"a", WeightVersion{4}}, {"b", WeightVersion{4}}};
