Never let a tick leave something due at once

Cause: three nodes left behind by an interrupted soak used 77% of a core each, threads fleet and timer. Their store was gone while they held the lease on weight orders and an engine loaded: dueAt named the order's time, which had passed, but orders wait while the lease is not proved, so each tick was followed by the next. The same in the batch duty: while a commit is under way (seconds in an outage) the time of the next partial texts, or of a release, had passed and nothing could be done. Ruled out: the log (its thread slept), retries of store calls (0.2% of a core). Change: dueAt counts only what the next tick can act on: orders while they may be placed, the moment from which they may, heartbeats that are not under way, partial texts and releases without a commit under way; the pace of runs is looked at a period after the first run starts. Tests, red before: unit-fleet 'a tick leaves nothing due at once'; each tick of the batch world.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -153,7 +153,6 @@
     std::uint32_t capacity = 0; ///< Processor time in thousandths of a core; 0 when not known.
     PresenceSettings presence;
     Duration leaseTime = std::chrono::seconds(3); ///< An earlier holder's orders end within it.
-    Duration beatLimit = std::chrono::milliseconds(1500); ///< Without an answer to a heartbeat.
     /// How long a beat that the store has taken proves this node's ownership: less than the
     /// silence after which others take over.
     Duration ownershipProof = std::chrono::milliseconds(1400);
@@ -211,7 +210,7 @@
 /// Complexity: linear in the rows of the event, and in targets and batches for a change of them.
 std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now);
 
-/// \return when the next tick is needed.
-Time dueAt(const FleetState &state);
+/// \return when the next tick is needed: always later than a tick that has just been taken.
+std::optional<Time> dueAt(const FleetState &state, Time now);
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -67,11 +67,13 @@
     void add(Time time) { this->due = std::min(this->due.value_or(time), time); }
 };
 
+// While a commit is under way nothing else of a batch is written; its answer goes on with the rest.
+// What the next tick could not act on must not count, else one tick would follow the other.
 void addOwned(const OwnedBatch &batch, bool draining, Earliest &earliest)
 {
     if (batch.commit && !batch.commit->sent)
         earliest.add(batch.commit->retryAt);
-    if (draining && !batch.releaseSent)
+    if (draining && !batch.releaseSent && !batch.commit)
         earliest.add(batch.releaseRetryAt);
     for (const BatchWaiter &waiter : batch.waiters)
         earliest.add(waiter.until);
@@ -81,7 +83,7 @@
         if (item.phase == ItemPhase::Unscored)
             earliest.add(item.notBefore);
     }
-    if (isRunning)
+    if (isRunning && !batch.commit && !batch.releaseSent)
         earliest.add(batch.nextPartials);
 }
 
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -78,6 +78,8 @@
     const OperationId run = context.state.nextOperation;
     context.state.nextOperation = next(run);
     ++context.state.engines[engine.target.id].running;
+    if (context.state.runs.empty())
+        context.state.nextPaceCheck = context.now + context.state.settings.paceCheckPeriod;
     RunRecord record;
     record.batch = batch.head.id;
     record.item = index;
--- a/packages/core/src/batch/engine_choice.cpp
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -92,8 +92,8 @@
         if (running >= roomOf(*engine, use, isOwn, settings))
             continue;
         // Engines of other models, the one that has just failed and slow ones come after.
-        const int rank =
-                (isOwn ? 0 : 1) + (id == item.lastTarget ? 2 : 0) + (isSlow(context, id, usual) ? 4 : 0);
+        const int rank = (isOwn ? 0 : 1) + (id == item.lastTarget ? 2 : 0)
+                         + (isSlow(context, id, usual) ? 4 : 0);
         const double load = static_cast<double>(running) / engine->slots;
         if (best.engine == nullptr || rank < best.rank || (rank == best.rank && load < best.load))
             best = {engine, rank, load};
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -27,6 +27,19 @@
                                        std::chrono::milliseconds(1000),
                                        std::chrono::milliseconds(2000)};
 
+bool holdsLease(const FleetState &state)
+{
+    const OrdersLease &lease = state.lease;
+    return lease.holder == state.settings.self.id
+           && lease.incarnation == state.settings.self.incarnation;
+}
+
+bool mayOrder(const FleetState &state, Time now)
+{
+    return holdsLease(state) && !state.draining && now >= state.ordersAllowedFrom
+           && now < state.ownershipKnownUntil;
+}
+
 struct Handler
 {
     FleetState &state;
@@ -91,7 +104,7 @@
 
     void operator()(const EngineStateHeard &event)
     {
-        if (!this->mayOrder())
+        if (!mayOrder(this->state, this->now))
             return;
         const auto order = noteEngineState(this->state.orders, this->state.published, event.target,
                                            event.state, fenceOf(this->state.lease), this->now);
@@ -128,7 +141,7 @@
         dropLapsed(this->state, this->now);
         this->advanceLease();
         this->publish();
-        if (!this->mayOrder())
+        if (!mayOrder(this->state, this->now))
             return;
         for (const AskEngineState &order :
              planOrders(this->state.orders, this->state.published, this->now))
@@ -178,20 +191,6 @@
                 {state.settings.self, state.beats, state.draining, state.settings.capacity}});
     }
 
-    bool holdsLease() const
-    {
-        const OrdersLease &lease = this->state.lease;
-        return lease.holder == this->state.settings.self.id
-               && lease.incarnation == this->state.settings.self.incarnation;
-    }
-
-    bool mayOrder() const
-    {
-        return this->holdsLease() && !this->state.draining
-               && this->now >= this->state.ordersAllowedFrom
-               && this->now < this->state.ownershipKnownUntil;
-    }
-
     // Takes the lease when nobody has it, and gives it up in a planned stop.
     void advanceLease()
     {
@@ -200,7 +199,7 @@
         const bool isHeard = state.presence.nodes.count(state.settings.self.id) != 0;
         if (!state.batchesKnown || !isHeard || state.leaseWriting || this->now < state.leaseRetryAt)
             return;
-        if (this->holdsLease()) {
+        if (holdsLease(this->state)) {
             if (state.draining)
                 this->writeLease({{}, 0, {}});
             return;
@@ -309,12 +308,24 @@
     return std::move(handler.actions);
 }
 
-Time dueAt(const FleetState &state)
+// Only what the next tick can act on counts: orders wait while the lease is not proved, and a
+// heartbeat under way ends with its answer. Else one tick would follow the other without end.
+std::optional<Time> dueAt(const FleetState &state, Time now)
 {
-    Time due = state.beating ? state.nextBeat + state.settings.beatLimit : state.nextBeat;
-    for (const TableFollower &follower : state.followers)
-        due = std::min(due, dueAt(follower).value_or(due));
-    return std::min(due, dueAt(state.orders).value_or(due));
+    std::optional<Time> due;
+    const auto add = [&](Time time) { due = std::min(due.value_or(time), time); };
+    if (!state.beating)
+        add(state.nextBeat);
+    for (const TableFollower &follower : state.followers) {
+        if (const auto own = dueAt(follower))
+            add(*own);
+    }
+    if (holdsLease(state) && state.ordersAllowedFrom > now)
+        add(state.ordersAllowedFrom);
+    const auto order = dueAt(state.orders);
+    if (order && mayOrder(state, now))
+        add(*order);
+    return due;
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/tests/batch/batch_world.cpp
+++ b/packages/core/tests/batch/batch_world.cpp
@@ -102,6 +102,10 @@
         return;
     for (const BatchAction &action : step(node.state, event, this->time))
         this->perform(index, action);
+    // A tick that leaves something due at once would be followed by the next one, without end.
+    const std::optional<Time> due = dueAt(node.state, this->time);
+    if (std::holds_alternative<BatchTick>(event) && due)
+        CHECK(*due > this->time);
     this->tick(index);
 }
 
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -174,6 +174,31 @@
     CHECK(world.state.ownershipKnownUntil <= world.now);
 }
 
+TEST_CASE("a tick leaves nothing due at once, also when the store is lost while an engine loads")
+{
+    FleetWorld world;
+    auto table = std::make_shared<RoutingTable>();
+    table->version = ConfigurationVersion{3};
+    table->services.push_back({{"service"}, 0, true});
+    FleetTarget engine;
+    engine.target = {{"e"}, {"service"}, "a:1", "zone", false};
+    engine.weights["m"] = WeightVersion{1};
+    world.read(FleetTable::Routing, true,
+               {{"config", RowVersion{3}, std::shared_ptr<const RoutingTable>(table)},
+                {"version", RowVersion{4}, DesiredModelWeights{"m", WeightVersion{2}}}});
+    world.read(FleetTable::Targets, true, {{"e", RowVersion{1}, engine}});
+    world.read(FleetTable::Batches, true, {});
+    world.beatBack(1);
+    world.send(OrdersLeaseWritten{StoreOutcome::Done, RowVersion{8}});
+    REQUIRE(world.find<AskEngineState>() != nullptr);
+    for (int i = 0; i < 100; ++i) {
+        world.now += 100ms;
+        world.send(FleetTick{});
+        const std::optional<Time> due = dueAt(world.state, world.now);
+        CHECK((!due || *due > world.now));
+    }
+}
+
 TEST_CASE("a stopping node gives the lease up")
 {
     FleetWorld world;
@@ -269,7 +294,7 @@
         const Time end = this->world.now + time;
         this->takeActions();
         while (this->world.now < end) {
-            const Time due = dueAt(this->world.state);
+            const Time due = dueAt(this->world.state, this->world.now).value_or(end);
             if (!this->answers.empty() && this->answers.begin()->first <= due) {
                 const auto next = this->answers.extract(this->answers.begin());
                 this->world.now = next.key();
--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -151,8 +151,8 @@
 TEST_CASE("engines that the newest batch cannot use load first, those of the model with fewest")
 {
     OrdersWorld world(8, {"a", "b"});
-    // All engines of `a` are one version behind, which its batches allow. Of those of `b` one is up to
-    // date, and three are too old.
+    // All engines of `a` are one version behind, which its batches allow. Of those of `b` one is up
+    // to date, and three are too old.
     std::map<std::string, std::size_t> seen;
     for (auto &[id, target] : world.targets) {
         const std::string &model = world.directory.shares->at(id);
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -106,7 +106,7 @@
         decideAndArm<core::FleetTick>(*this, event);
     }
 
-    std::optional<core::Time> due() const { return core::dueAt(this->state); }
+    std::optional<core::Time> due() const { return core::dueAt(this->state, runtime::now()); }
 
     void lookForSuspension()
     {
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -74,8 +74,8 @@
     if (!daemon)
         return reportFailedStart(daemon.error());
     serve(*daemon.value(), path, text);
-    // A second stop signal changes nothing: answers are still owed, and the platform kills a process
-    // that takes too long.
+    // A second stop signal changes nothing: answers are still owed, and the platform kills a
+    // process that takes too long.
     daemon.value()->drain();
     return 0;
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,7 +8,6 @@
 #include <pplx/threadpool.h>
 
 #include <iostream>
-#include <thread>
 
 namespace {
 
@@ -20,7 +19,6 @@
 constexpr seconds recoveryLimit(12);
 constexpr milliseconds batchDue(7500);
 constexpr int libraryThreads = 4;
-constexpr milliseconds askPeriod(50);
 
 const std::vector<std::string> nodes{"node-a", "node-b", "node-c"};
 const std::vector<std::string> plainWorkers{"orders-1", "orders-2"};
@@ -75,16 +73,11 @@
     void checkRecovery(core::Time limit)
     {
         for (std::size_t i = 0; i < nodes.size(); ++i) {
-            bool isServed = false;
-            while (!isServed && runtime::now() < limit) {
-                const std::string target = fmt::format("/lookup/after-{}", i);
-                const live::HttpReply reply =
-                        this->fleet.call(nodes[i], "POST", target, fmt::format("after-{}", i), "x");
-                isServed = reply.status == 200;
-                if (!isServed)
-                    std::this_thread::sleep_for(askPeriod);
-            }
-            if (!isServed)
+            const std::string id = fmt::format("after-{}", i);
+            const auto isServed = [&] {
+                return this->fleet.call(nodes[i], "POST", "/lookup/" + id, id, "x").status == 200;
+            };
+            if (!live::waitUntil(*this->fleet.watch, limit - runtime::now(), isServed))
                 this->ledger.violate(nodes[i] + " does not serve after the faults");
         }
     }
--- a/tests/soak/proxies.cpp
+++ b/tests/soak/proxies.cpp
@@ -176,8 +176,7 @@
 {
     const auto link = std::make_shared<Link>(this->io);
     this->links[name] = link;
-    const std::string address =
-            "127.0.0.1:" + std::to_string(link->acceptor.local_endpoint().port());
+    std::string address = "127.0.0.1:" + std::to_string(link->acceptor.local_endpoint().port());
     boost::asio::post(this->io, [this, link] { accept(this->io, link); });
     return address;
 }
