Reset a request that is given up, so that it does not arrive later

The engines were cut from some nodes then (srv_cut, fronts). A plain close of a connection leaves its bytes to the system, which delivers them when the cut heals and the retransmission timer comes round, seconds after the cancel. Change: while a request is under way its connection closes with a reset. Test, red before: unit-http_caller 'a request that is given up is reset'.

--- a/packages/net/src/http_caller.cpp
+++ b/packages/net/src/http_caller.cpp
@@ -156,6 +156,7 @@
         this->request.body() = std::move(this->order.body);
         this->request.prepare_payload();
         this->expire();
+        this->resetOnClose(true);
         http::async_write(this->connection->stream, this->request,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                               self->onWritten(error);
@@ -267,18 +268,32 @@
         const core::Duration limit =
                 told ? *told - keepAliveMargin : this->caller.settings.idleLimit;
         this->connection->idleUntil = runtime::now() + limit;
-        if (limit > core::Duration{})
-            this->caller.pool.keep(this->order.address, std::exchange(this->connection, nullptr));
+        if (limit <= core::Duration{})
+            return;
+        this->resetOnClose(false);
+        this->caller.pool.keep(this->order.address, std::exchange(this->connection, nullptr));
     }
 
     void fail(SendFailure failure) { this->finish({failure, 0, {}, {}, {}, true}); }
 
+    // A request that is given up must not arrive later: with a plain close the system would go on
+    // to deliver what a cut has held up. Set before the request is sent, because a time limit
+    // closes the connection by itself.
+    void resetOnClose(bool isReset)
+    {
+        beast::error_code ignored;
+        this->connection->stream.socket().set_option(asio::socket_base::linger(isReset, 0),
+                                                     ignored);
+    }
+
     void finish(HttpResult &&result)
     {
         this->finished = true;
         if (this->order.cancelKey != CancelKey{})
             this->caller.cancellable.erase(static_cast<std::uint64_t>(this->order.cancelKey));
         if (this->connection) {
+            if (result.failure == SendFailure::None)
+                this->resetOnClose(false);
             beast::error_code ignored;
             this->connection->stream.socket().close(ignored);
         }
--- a/packages/net/tests/unit-http_caller.cpp
+++ b/packages/net/tests/unit-http_caller.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <thread>
 
 using namespace geraniumpulley;
 using namespace std::chrono_literals;
@@ -47,6 +48,24 @@
     CHECK(server.requests() == 1);
 }
 
+TEST_CASE("a request that is given up is reset, so that bytes held up on the way never arrive")
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    boost::system::error_code seen;
+    std::thread server([&] {
+        boost::asio::ip::tcp::socket socket(io);
+        acceptor.accept(socket);
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "order", seen);
+        boost::asio::read(socket, boost::asio::dynamic_buffer(request), seen);
+    });
+    CHECK(call(address, 100ms).failure == SendFailure::Lost);
+    server.join();
+    CHECK(seen == boost::asio::error::connection_reset);
+}
+
 TEST_CASE("an answer shorter than its length is lost")
 {
     const RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort");
