--- a/packages/core/src/control/view.cpp
+++ b/packages/core/src/control/view.cpp
@@ -1,26 +1,17 @@
 #include <geraniumpulley/core/control/view.hpp>
 
-#include <xxhash.h>
+#include <geraniumpulley/core/rendezvous.hpp>
 
 #include <algorithm>
 #include <iterator>
 
 namespace geraniumpulley::core {
-namespace {
-
-std::uint64_t rendezvousScore(const std::string &key, const Node &node)
-{
-    const std::uint64_t seed = XXH3_64bits(node.id.value.data(), node.id.value.size());
-    return XXH3_64bits_withSeed(key.data(), key.size(), seed);
-}
-
-} // namespace
 
 const Node *ownerOf(const std::string &key, const std::vector<Node> &nodes)
 {
     const auto owner =
             std::max_element(nodes.begin(), nodes.end(), [&](const Node &a, const Node &b) {
-                return rendezvousScore(key, a) < rendezvousScore(key, b);
+                return rendezvousScore(key, a.id.value) < rendezvousScore(key, b.id.value);
             });
     return owner == nodes.end() ? nullptr : &*owner;
 }
--- a/packages/core/src/fleet/engine_shares.cpp
+++ b/packages/core/src/fleet/engine_shares.cpp
@@ -1,6 +1,6 @@
 #include <geraniumpulley/core/fleet/engine_shares.hpp>
 
-#include <xxhash.h>
+#include <geraniumpulley/core/rendezvous.hpp>
 
 #include <algorithm>
 #include <cassert>
@@ -18,12 +18,6 @@
 
 using Counts = std::map<std::string, std::size_t>;
 
-std::uint64_t scoreOf(const TargetId &target, const std::string &model)
-{
-    return XXH3_64bits_withSeed(model.data(), model.size(),
-                                XXH3_64bits(target.value.data(), target.value.size()));
-}
-
 // The work of each model; one whose batches are not known gets the mean.
 ModelWork completeWork(const std::vector<std::string> &models, const ModelWork &work)
 {
@@ -123,7 +117,7 @@
             if (this->shares.count(id) != 0)
                 continue;
             for (const auto &[model, work] : this->work)
-                pairs.emplace_back(scoreOf(id, model), id, model);
+                pairs.emplace_back(rendezvousScore(model, id.value), id, model);
         }
         std::sort(pairs.rbegin(), pairs.rend());
         for (const auto &[score, engine, model] : pairs) {
@@ -166,7 +160,9 @@
             const TargetId *moved = nullptr;
             for (const auto &[engine, model] : this->shares) {
                 if (model == *giver
-                    && (moved == nullptr || scoreOf(engine, taker) > scoreOf(*moved, taker)))
+                    && (moved == nullptr
+                        || rendezvousScore(taker, engine.value)
+                                   > rendezvousScore(taker, moved->value)))
                     moved = &engine;
             }
             assert(moved != nullptr);
--- a/packages/core/src/fleet/presence.cpp
+++ b/packages/core/src/fleet/presence.cpp
@@ -1,6 +1,6 @@
 #include <geraniumpulley/core/fleet/presence.hpp>
 
-#include <xxhash.h>
+#include <geraniumpulley/core/rendezvous.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -23,12 +23,6 @@
            && (known.beat.node.id == presence.self || !isSilent(presence, known, now));
 }
 
-std::uint64_t scoreOf(const std::string &key, const NodeId &node)
-{
-    return XXH3_64bits_withSeed(key.data(), key.size(),
-                                XXH3_64bits(node.value.data(), node.value.size()));
-}
-
 } // namespace
 
 Presence makePresence(NodeId self, PresenceSettings settings, Time now)
@@ -98,7 +92,7 @@
     }
     const auto orderOf = [&](const NodeBeat &beat) {
         const bool isLarge = beat.capacity >= largest * leastCapacityPercent / 100;
-        return std::tuple(!isLarge, ~scoreOf(key, beat.node.id), beat.node.id);
+        return std::tuple(!isLarge, ~rendezvousScore(key, beat.node.id.value), beat.node.id);
     };
     std::sort(beats.begin(), beats.end(),
               [&](const NodeBeat *a, const NodeBeat *b) { return orderOf(*a) < orderOf(*b); });
