Log the rate limits that targets state, and the outcome of scoring requests

The logs could not tell whether the requests above a target's limit were clients' calls, retries or scoring requests, nor which nodes knew of the limit.

Decisions do not use the limit yet.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/limits/request_rate.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/store_outcome.hpp>
 #include <geraniumpulley/core/time.hpp>
@@ -60,6 +61,7 @@
 {
     OperationId run{};
     std::optional<WeightVersion> version; ///< Weights that the engine uses, if it states them.
+    std::optional<RequestRate> rateLimit = {}; ///< The limit that the engine states, if any.
 };
 /// An engine has sent one complete event of a text.
 struct RunEventReceived
@@ -84,6 +86,9 @@
 {
     OperationId run{};
     RunEnd end = RunEnd::Broken;
+    /// What the engine's answer states about its rate limit; null if there is no answer, or if the
+    /// head of the answer was reported by `RunHeadReceived`.
+    std::optional<RateStatement> rateStatement = {};
 };
 /// The store has answered a `StoreSubmission`, or did not answer in time.
 struct SubmissionStored
@@ -273,7 +278,8 @@
 using BatchAction =
         std::variant<StoreSubmission, StoreResults, StoreHead, LoadBatch, ReadResults, RemoveBatch,
                      StartRun, CancelRun, ScoreRequested, AnswerBatchSubmission, AnswerResults,
-                     AnswerItemBody, AnswerBatchEnd, OwnershipChanged, BatchesDrained>;
+                     AnswerItemBody, AnswerBatchEnd, OwnershipChanged, BatchesDrained,
+                     RateLimitChanged>;
 
 /// \return the state of a node without a directory, which answers submissions with
 /// `StoreUnavailable`.
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/limits/request_rate.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
@@ -76,12 +77,14 @@
     std::string signature; ///< The target's signature.
     bool encoded = false; ///< The body has a content encoding, so the target did not write it.
     std::optional<ReportedLoad> load;
+    std::optional<RequestRate> rateLimit = {}; ///< The limit that the target states, if any.
 };
 /// The head of a stream arrived.
 struct StreamHeadReceived
 {
     OperationId operation{};
     EntryAnswer head;
+    std::optional<RequestRate> rateLimit = {}; ///< The limit that the target states, if any.
 };
 /// One complete event of a stream arrived.
 struct StreamEventReceived
@@ -192,10 +195,15 @@
     } outcome = Outcome::Unavailable;
     std::string score;
     std::uint32_t maxFailures = 1; ///< Failures after which the item may be abandoned.
+    // For the log.
+    std::string requestId;
+    std::uint32_t attempts = 0; ///< Attempts that may have run.
+    std::optional<TargetId> target; ///< The target that answered or was tried last.
+    Duration latency{}; ///< Time since the scoring request was accepted.
 };
 
 using EntryAction = std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead,
-                                 SendStreamEvent, EndStream, ScoreCompleted>;
+                                 SendStreamEvent, EndStream, ScoreCompleted, RateLimitChanged>;
 
 struct EntrySettings
 {
@@ -254,6 +262,7 @@
             attemptsPerTarget; ///< This node's attempts in flight at each target.
     std::map<TargetId, std::uint32_t>
             reportedWaiting; ///< Requests queued at each target, as it last reported.
+    RateLimits rateLimits; ///< The limits that targets state.
     std::map<TargetId, TargetHealth> health;
     RandomSource random;
     OperationId nextOperation{1};
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -237,6 +237,13 @@
     return true;
 }
 
+void noteRateLimit(BatchContext &context, const TargetId &target,
+                   const std::optional<RequestRate> &limit)
+{
+    if (recordRateLimit(context.state.rateLimits, target, limit))
+        context.actions.emplace_back(RateLimitChanged{target, limit});
+}
+
 } // namespace
 
 const Route *routeOf(const BatchContext &context, const BatchSpec &spec)
@@ -266,9 +273,11 @@
 void onRunHeadReceived(BatchContext &context, const RunHeadReceived &event)
 {
     const FoundRun found = findRun(context, event.run);
-    if (found.record != nullptr)
-        context.state.engines[found.record->target].probing = false;
-    if (found.record != nullptr && event.version)
+    if (found.record == nullptr)
+        return;
+    context.state.engines[found.record->target].probing = false;
+    noteRateLimit(context, found.record->target, event.rateLimit);
+    if (event.version)
         recordVersion(context, event.run, *event.version);
 }
 
@@ -303,6 +312,8 @@
     const RunRecord &record = entry.mapped();
     EngineStatus &engine = context.state.engines[record.target];
     --engine.activeRuns;
+    if (event.rateStatement)
+        noteRateLimit(context, record.target, event.rateStatement->limit);
     if (record.cancelled)
         return;
     OwnedBatch &batch = context.state.ownedBatches.at(record.batch);
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -76,6 +76,8 @@
             return;
         if (event.load)
             this->state.reportedWaiting[attempt->target] = event.load->waiting;
+        if (event.answer.status != status::misdirected)
+            this->noteRateLimit(attempt->target, event.rateLimit);
         this->recordTargetResult(*attempt,
                                  event.answer.status < status::serverError || event.notExecuted);
         const auto position = this->state.requests.find(attempt->reply);
@@ -101,6 +103,7 @@
         const auto attempt = this->state.attempts.find(event.operation);
         if (attempt == this->state.attempts.end() || attempt->second.cancelled)
             return;
+        this->noteRateLimit(attempt->second.target, event.rateLimit);
         EntryRequest &request = this->state.requests.at(attempt->second.reply);
         request.mayHaveRun = true;
         // A stream that was resumed at another target keeps the head of the first one.
@@ -161,6 +164,8 @@
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
         std::erase_if(this->state.reportedWaiting,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
+        std::erase_if(this->state.rateLimits,
+                      [&](const auto &entry) { return targets.count(entry.first) == 0; });
     }
 
     void operator()(const EntryTick &)
@@ -209,6 +214,12 @@
         this->sendNextAttempt(position);
     }
 
+    void noteRateLimit(const TargetId &target, const std::optional<RequestRate> &limit)
+    {
+        if (recordRateLimit(this->state.rateLimits, target, limit))
+            this->actions.emplace_back(RateLimitChanged{target, limit});
+    }
+
     bool mayAttempt(const EntryRequest &request) const
     {
         return request.attemptCount < request.maxAttempts && request.deadline > this->now;
@@ -363,6 +374,10 @@
         completed.batch = request.scoreRequest->batch;
         completed.item = request.scoreRequest->item;
         completed.maxFailures = request.maxAttempts;
+        completed.requestId = request.call->requestId;
+        completed.attempts = request.attemptCount;
+        completed.target = request.lastTarget;
+        completed.latency = this->now - request.receivedAt;
         if (verdict == EntryVerdict::Served && isSuccess(answer.status) && !signature.empty()) {
             completed.outcome = ScoreCompleted::Outcome::Scored;
             completed.score = signature;
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -102,7 +102,8 @@
         request.cancelKey = cancelKeyOf(run.run);
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
         request.onResponseHead = [this, id = run.run](net::HttpResponseHead &&head) {
-            this->push(core::RunHeadReceived{id, platform::decodeRunHead(head)});
+            this->push(core::RunHeadReceived{id, platform::decodeRunHead(head),
+                                             platform::decodeRateLimit(head.headers)});
         };
         request.onBodyPart = [this, id = run.run, buffer](std::string &&piece) {
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
@@ -113,7 +114,7 @@
                         sentAt = runtime::now()](net::HttpResult &&result) {
             const core::RunEnd end = platform::decodeRunEnd(result);
             this->logRunEnd(item, target, result, end, runtime::now() - sentAt);
-            this->push(core::RunEnded{id, end});
+            this->push(core::RunEnded{id, end, platform::decodeRateStatement(result)});
         };
         this->parts.engineClient->send(std::move(request));
     }
@@ -186,6 +187,8 @@
                                  field("total", change.itemCount));
     }
 
+    void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
+
     void perform(core::BatchesDrained &&) { this->parts.batchesDrained.set(); }
 };
 
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -97,8 +97,9 @@
         request.readTimeout = streamReadTimeout;
         request.onResponseHead = [this, operation, headReceived](net::HttpResponseHead &&head) {
             *headReceived = true;
-            this->push(core::StreamHeadReceived{operation,
-                                                platform::decodeStreamHead(std::move(head))});
+            const auto rateLimit = platform::decodeRateLimit(head.headers);
+            this->push(core::StreamHeadReceived{
+                    operation, platform::decodeStreamHead(std::move(head)), rateLimit});
         };
         request.onBodyPart = [this, operation, buffer](std::string &&piece) {
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
@@ -151,8 +152,17 @@
         this->parts.callerServer->respond(platform::encodeAnswer(end));
     }
 
+    void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
+
     void perform(core::ScoreCompleted &&completion)
     {
+        this->parts.logger.write(
+                "score_completed", field("request", completion.requestId),
+                field("item", completion.item.value),
+                field("outcome", static_cast<int>(completion.outcome)),
+                field("attempts", completion.attempts),
+                field("target", completion.target ? completion.target->value : "-"),
+                field("after_ms", completion.latency.count() / 1000));
         static_cast<void>(this->parts.batches.inbox().push(std::move(completion)));
     }
 };
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -54,6 +54,16 @@
     return static_cast<net::CancelKey>(core::number(operation));
 }
 
+/// Logs that a target has stated a rate limit, or states none any more.
+inline void logRateLimit(Parts &parts, const core::RateLimitChanged &change)
+{
+    if (change.limit)
+        parts.logger.write("rate_limit_stated", runtime::field("target", change.target.value),
+                           runtime::field("per_second", change.limit->perSecond));
+    else
+        parts.logger.write("rate_limit_ended", runtime::field("target", change.target.value));
+}
+
 /// Passes one event to the core and executes the resulting actions.
 template<typename Duty, typename Event>
 void decide(Duty &duty, const Event &event)
