--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -96,6 +96,11 @@
                                service, this->connectAddress(name, name), models));
 }
 
+void PlatformFleet::configureWorker(const std::string &name, const std::string &settings)
+{
+    fetch(this->uriOf(name) + "/_worker", "POST", settings);
+}
+
 bool PlatformFleet::writeRow(const std::string &table, const std::string &key,
                              const std::string &content)
 {
--- a/tests/live/platform_fleet.hpp
+++ b/tests/live/platform_fleet.hpp
@@ -25,6 +25,8 @@
     /// service.
     void startWorker(const std::string &name, const std::string &service, const std::string &model);
     ChildProcess &process(const std::string &name) { return *this->processes.at(name); }
+    /// Changes how a running worker answers. \param settings JSON for its `/_worker` endpoint.
+    void configureWorker(const std::string &name, const std::string &settings);
     /// Writes a row in the way that operators and workers do.
     bool writeRow(const std::string &table, const std::string &key, const std::string &content);
     /// Waits until the readiness endpoint of every node reports that it accepts requests.
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -54,6 +54,11 @@
     });
 }
 
+std::size_t executedCount(live::PlatformFleet &fleet, const std::string &worker)
+{
+    return web::json::value::parse(fleet.executedRequestIds(worker)).size();
+}
+
 bool submit(live::PlatformFleet &fleet, const std::string &node, const std::string &batch)
 {
     return fleet.waitFor([&] {
@@ -174,3 +179,30 @@
     CHECK(fleet.call("node-d", "POST", "/lookup/1", "id-1", "x").status == 200);
     CHECK(fleet.call("node-d", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status == 503);
 }
+
+// Several nodes that each keep to the limit exceed it together.
+TEST_CASE("on the platform nodes together send a target no more than one and a half times the rate "
+          "limit that it states")
+{
+    constexpr double limitPerSecond = 3;
+    constexpr std::chrono::seconds warmUp{3};
+    constexpr std::chrono::seconds window{4};
+    constexpr std::size_t maxRequests = static_cast<std::size_t>(1.5 * limitPerSecond * 4) + 5;
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    for (const char *worker : {"orders-1", "orders-2"})
+        fleet.configureWorker(worker, R"({"rate_limit": "3"})");
+    const auto press = [&fleet](std::chrono::seconds span) {
+        const auto end = std::chrono::steady_clock::now() + span;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            for (const char *node : {"node-a", "node-b", "node-c"})
+                fleet.call(node, "POST", "/lookup/1", fmt::format("{}-{}", node, i), "x");
+        }
+    };
+    press(warmUp);
+    const std::size_t before = executedCount(fleet, "orders-1");
+    press(window);
+    const std::size_t inWindow = executedCount(fleet, "orders-1") - before;
+    CHECK(inWindow <= maxRequests);
+    CHECK(inWindow > 0);
+}
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -38,6 +38,7 @@
     std::uint64_t acceptedOrders = 0;
     std::uint64_t highestFencingToken = 0;
     std::uint64_t remainingRefusals = 0; // How many of the next requests are refused.
+    std::string rateLimit; // The limit stated in answers; empty for none.
     std::vector<value> executedRequestIds;
 
     Reply serve(const ServerRequest &request)
@@ -65,6 +66,8 @@
             this->model = settings.at("model").as_string();
         if (settings.has_field("refusals"))
             this->remainingRefusals = settings.at("refusals").as_number().to_uint64();
+        if (settings.has_field("rate_limit"))
+            this->rateLimit = settings.at("rate_limit").as_string();
         return {};
     }
 
@@ -95,6 +98,8 @@
         const std::string requestId = findHeader(request.headers, "X-Attempt-Id");
         Reply reply;
         reply.headers = {{"X-Attempt-Id", requestId}};
+        if (!this->rateLimit.empty())
+            reply.headers.push_back({"Server-Limit", this->rateLimit});
         if (this->remainingRefusals > 0) {
             --this->remainingRefusals;
             reply.status = 503;
