Share a target's rate limit among all nodes

Cause: no node used the limit that a target states; each balanced by its own requests in flight. Class: a limit that holds for all nodes together, enforced by none of them. Ruled out by logs: retries (1 to 7 a second). Equal shares of the limit for each node were weighed: most scoring requests come from two of ten nodes, which would get two tenths of the limit.

Change: each target has one limiter, chosen among the nodes by rendezvous hashing. It grants permits, one interval of the limit apart, in the order in which nodes ask; a request to a target with a limit needs a permit (calls, streams, hedged and repeated attempts, scoring requests and runs of batch items alike). Requests that can be sent within their latency objective wait, others are refused at once with the time to return.

--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/configuration_text.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
+#include <geraniumpulley/codec/permit_messages.hpp>
 #include <geraniumpulley/codec/row_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
@@ -41,6 +42,8 @@
     static_cast<void>(codec::decodeRowCopies(bytes));
     static_cast<void>(codec::decodeRelayedCall(bytes));
     static_cast<void>(codec::decodeRelayedReply(bytes));
+    static_cast<void>(codec::decodePermitRequest(bytes));
+    static_cast<void>(codec::decodePermitGrant(bytes));
 }
 
 } // namespace
@@ -70,6 +73,8 @@
             codec::encodeRowCopies({{core::FleetTable::Targets, "k", "v", core::RowVersion{4}}}),
             codec::encodeRelay(codec::RelayedCall{"GET", "/x", "b", core::Duration(5)}),
             codec::encodeRelay(codec::RelayedReply{codec::RelayOutcome::Answered, 200, "b"}),
+            codec::encodePermits(core::PermitRequest{{"t"}, "n/calls", {2.5}, 3}),
+            codec::encodePermits(core::PermitGrant{1, core::Duration(5), core::Duration(9)}),
     };
     constexpr std::uint64_t seedCount = 20'000;
     for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/limits/permits.hpp>
 #include <geraniumpulley/core/limits/request_rate.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/store_outcome.hpp>
@@ -151,11 +152,11 @@
 {
 };
 
-using BatchEvent =
-        std::variant<BatchSubmissionReceived, ResultsRequested, ItemBodyRequested,
-                     BatchEndRequested, RequesterDisconnected, RunHeadReceived, RunEventReceived,
-                     RunEnded, ScoreCompleted, SubmissionStored, ResultsStored, HeadStored,
-                     BatchLoaded, ResultsRead, BatchDirectoryChanged, BatchDraining, BatchTick>;
+using BatchEvent = std::variant<BatchSubmissionReceived, ResultsRequested, ItemBodyRequested,
+                                BatchEndRequested, RequesterDisconnected, RunHeadReceived,
+                                RunEventReceived, RunEnded, ScoreCompleted, SubmissionStored,
+                                ResultsStored, HeadStored, BatchLoaded, ResultsRead,
+                                BatchDirectoryChanged, BatchDraining, BatchTick, PermitsReceived>;
 
 // Actions
 
@@ -279,7 +280,7 @@
         std::variant<StoreSubmission, StoreResults, StoreHead, LoadBatch, ReadResults, RemoveBatch,
                      StartRun, CancelRun, ScoreRequested, AnswerBatchSubmission, AnswerResults,
                      AnswerItemBody, AnswerBatchEnd, OwnershipChanged, BatchesDrained,
-                     RateLimitChanged>;
+                     RateLimitChanged, RequestPermits>;
 
 /// \return the state of a node without a directory, which answers submissions with
 /// `StoreUnavailable`.
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -4,7 +4,7 @@
 #include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/identifier.hpp>
-#include <geraniumpulley/core/limits/request_rate.hpp>
+#include <geraniumpulley/core/limits/permits.hpp>
 #include <geraniumpulley/core/row_version.hpp>
 #include <geraniumpulley/core/time.hpp>
 
@@ -230,7 +230,7 @@
     std::map<BatchId, RowVersion> closedVersions;
     std::map<OperationId, RunRecord> runs;
     std::map<TargetId, EngineStatus> engines;
-    RateLimits rateLimits; ///< The limits that engines state.
+    Permits permits;
     OperationId nextOperation{1};
     Time nextSlowRunCheckAt{};
     bool draining = false;
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/limits/permits.hpp>
 #include <geraniumpulley/core/limits/request_rate.hpp>
 #include <geraniumpulley/core/time.hpp>
 
@@ -121,7 +122,7 @@
 using EntryEvent =
         std::variant<EntryCallReceived, CallerDisconnected, AttemptAnswered, StreamHeadReceived,
                      StreamEventReceived, StreamEnded, EntryAttemptFailed, ScoreRequested,
-                     EntryDirectoryChanged, EntryTick>;
+                     PermitsReceived, EntryDirectoryChanged, EntryTick>;
 
 // Actions
 
@@ -149,6 +150,7 @@
     NoRoute,
     NoTarget, ///< The service has no target that accepts requests.
     TargetsFull, ///< Every target that was tried refused the request.
+    RateLimited, ///< The rate limits of the targets allow the request too late.
     Failed, ///< Attempts failed, and the request may have run.
     TimedOut,
 };
@@ -202,8 +204,9 @@
     Duration latency{}; ///< Time since the scoring request was accepted.
 };
 
-using EntryAction = std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead,
-                                 SendStreamEvent, EndStream, ScoreCompleted, RateLimitChanged>;
+using EntryAction =
+        std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead, SendStreamEvent,
+                     EndStream, ScoreCompleted, RateLimitChanged, RequestPermits>;
 
 struct EntrySettings
 {
@@ -238,6 +241,8 @@
     ServiceName service;
     Time deadline{};
     Time receivedAt{};
+    /// Until this time an answer meets the route's latency objective.
+    Time objectiveAt{};
     std::set<OperationId> openAttempts; ///< Attempts in flight.
     std::set<TargetId> triedTargets; ///< Targets that the request was sent to.
     std::optional<TargetId> lastTarget;
@@ -247,6 +252,7 @@
     /// A target's error answer, forwarded if no attempt succeeds.
     std::optional<EntryAnswer> targetFailure;
     std::optional<Time> nextAttemptAt; ///< When a retry or a hedged attempt is due.
+    bool awaitsPermit = false; ///< The next attempt waits for a permit of a target.
     bool headSent = false; ///< The head of a stream has been sent to the caller.
     std::uint64_t lastEventId = 0; ///< The last stream event that was sent to the caller.
 };
@@ -262,7 +268,7 @@
             attemptsPerTarget; ///< This node's attempts in flight at each target.
     std::map<TargetId, std::uint32_t>
             reportedWaiting; ///< Requests queued at each target, as it last reported.
-    RateLimits rateLimits; ///< The limits that targets state.
+    Permits permits;
     std::map<TargetId, TargetHealth> health;
     RandomSource random;
     OperationId nextOperation{1};
--- a/packages/core/include/geraniumpulley/core/limits/request_rate.hpp
+++ b/packages/core/include/geraniumpulley/core/limits/request_rate.hpp
@@ -4,7 +4,6 @@
 #include <geraniumpulley/core/time.hpp>
 
 #include <compare>
-#include <map>
 #include <optional>
 
 /// Rate limits that targets state in their answers.
@@ -38,10 +37,4 @@
     std::optional<RequestRate> limit;
 };
 
-using RateLimits = std::map<TargetId, RequestRate>;
-
-/// Records what a target's answer states. \return whether the limit differs from the last one.
-bool recordRateLimit(RateLimits &limits, const TargetId &target,
-                     const std::optional<RequestRate> &limit);
-
 } // namespace geraniumpulley::core
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -89,9 +89,10 @@
 
 // engine_choice.cpp
 
-/// \return the engine for an item, or null if none has a free slot. Complexity: linear in engines.
-const FleetTarget *chooseEngine(const BatchContext &context, const BatchSpec &spec,
-                                const ItemState &item, const ServiceName &service);
+/// \return the engine for an item, or null if none has a free slot and a permit. Requests a permit
+/// of an engine that would be better but has none. Complexity: linear in engines.
+const FleetTarget *chooseEngine(BatchContext &context, const BatchSpec &spec, const ItemState &item,
+                                const ServiceName &service);
 /// \return whether an engine generates events much slower than the other engines that this node
 /// uses.
 bool isSlow(const BatchContext &context, const TargetId &target);
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "batch_context.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -37,9 +38,17 @@
     void operator()(const BatchDirectoryChanged &event)
     {
         this->context.state.directory = event.directory;
+        const TargetMap &targets = *event.directory->targets;
+        retainTargets(this->context.state.permits,
+                      [&](const TargetId &target) { return targets.count(target) != 0; });
         reconcileOwnership(this->context);
     }
 
+    void operator()(const PermitsReceived &event)
+    {
+        recordGrant(this->context.state.permits, event, this->context.now);
+    }
+
     void operator()(const BatchDraining &) { this->context.state.draining = true; }
 
     void operator()(const BatchTick &)
@@ -116,6 +125,20 @@
     }
 }
 
+// Waiting items can start when a permit that they claimed becomes usable.
+void addPermitTimes(const BatchState &state, Time now, EarliestTime &earliest)
+{
+    if (const auto requestDueAt = dueAt(state.permits))
+        earliest.add(*requestDueAt);
+    for (const auto &[target, permits] : state.permits.targets) {
+        for (std::size_t i = 0;
+             i < std::min<std::size_t>(permits.claimed, permits.usableFrom.size()); ++i) {
+            if (permits.usableFrom[i] > now)
+                earliest.add(permits.usableFrom[i]);
+        }
+    }
+}
+
 } // namespace
 
 BatchState makeBatchState(Node self, BatchSettings settings)
@@ -134,6 +157,8 @@
     // search for engines is skipped.
     if (!std::holds_alternative<RunEventReceived>(event) || !context.actions.empty())
         startRuns(context);
+    for (const RequestPermits &request : duePermitRequests(state.permits, now))
+        context.actions.emplace_back(request);
     advanceReleases(context);
     reportDrained(context);
     return std::move(context.actions);
@@ -170,6 +195,7 @@
     if (!state.runs.empty())
         earliest.add(state.nextSlowRunCheckAt);
     addBackoffTimes(state, now, earliest);
+    addPermitTimes(state, now, earliest);
     return earliest.due;
 }
 
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -81,6 +81,7 @@
 void startRun(BatchContext &context, OwnedBatch &batch, std::uint32_t index,
               const FleetTarget &engine, const Route &route)
 {
+    usePermit(context.state.permits, engine.target.id, context.now);
     ItemState &item = batch.items[index];
     const OperationId run = context.state.nextOperation;
     context.state.nextOperation = next(run);
@@ -109,6 +110,7 @@
 
 void startWaiting(BatchContext &context)
 {
+    clearAwaiting(context.state.permits);
     for (const WaitingItem &waiting : collectWaiting(context)) {
         OwnedBatch &batch = *waiting.batch;
         const Route *route = routeOf(context, *batch.spec);
@@ -240,7 +242,7 @@
 void noteRateLimit(BatchContext &context, const TargetId &target,
                    const std::optional<RequestRate> &limit)
 {
-    if (recordRateLimit(context.state.rateLimits, target, limit))
+    if (recordRateLimit(context.state.permits, target, limit))
         context.actions.emplace_back(RateLimitChanged{target, limit});
 }
 
--- a/packages/core/src/batch/engine_choice.cpp
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -1,6 +1,7 @@
 #include "batch_context.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace geraniumpulley::core {
 namespace {
@@ -67,6 +68,13 @@
     double load = 0;
 };
 
+bool isBetter(const Choice &a, const Choice &b)
+{
+    if (a.engine == nullptr || b.engine == nullptr)
+        return a.engine != nullptr;
+    return std::tie(a.rank, a.load) < std::tie(b.rank, b.load);
+}
+
 } // namespace
 
 bool isSlow(const BatchContext &context, const TargetId &target)
@@ -74,13 +82,15 @@
     return isSlow(context, target, usualEventInterval(context));
 }
 
-const FleetTarget *chooseEngine(const BatchContext &context, const BatchSpec &spec,
-                                const ItemState &item, const ServiceName &service)
+const FleetTarget *chooseEngine(BatchContext &context, const BatchSpec &spec, const ItemState &item,
+                                const ServiceName &service)
 {
     const Directory &directory = *context.state.directory;
     const BatchSettings &settings = context.state.settings;
     const Duration usualInterval = usualEventInterval(context);
+    Permits &permits = context.state.permits;
     Choice best;
+    Choice bestWithoutPermit;
     for (const FleetTarget *engine : servingTargets(*directory.targets, service)) {
         const TargetId &id = engine->target.id;
         const auto position = context.state.engines.find(id);
@@ -92,7 +102,9 @@
         const auto assigned = directory.engineAssignments->find(id);
         const bool isAssigned =
                 assigned != directory.engineAssignments->end() && assigned->second == spec.model;
-        const std::uint32_t running = status == nullptr ? 0 : status->activeRuns;
+        const bool isPermitted = hasPermit(permits, id, context.now);
+        const std::uint32_t running = (status == nullptr ? 0 : status->activeRuns)
+                                      + (isPermitted ? 0 : awaitingRequests(permits, id));
         if (running >= maxRuns(*engine, status, isAssigned, settings))
             continue;
         // A lower rank is better. A slow engine ranks behind the engine of the item's last run, and
@@ -100,9 +112,13 @@
         const int rank = (isAssigned ? 0 : 1) + (id == item.lastTarget ? 2 : 0)
                          + (isSlow(context, id, usualInterval) ? 4 : 0);
         const double load = static_cast<double>(running) / engine->slots;
-        if (best.engine == nullptr || rank < best.rank || (rank == best.rank && load < best.load))
-            best = {engine, rank, load};
+        Choice &choice = isPermitted ? best : bestWithoutPermit;
+        if (isBetter({engine, rank, load}, choice))
+            choice = {engine, rank, load};
     }
+    if (isBetter(bestWithoutPermit, best))
+        awaitPermit(permits, bestWithoutPermit.engine->target.id, context.now + maxRequestInterval,
+                    context.now);
     return best.engine;
 }
 
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -33,6 +33,16 @@
 
 using Requests = std::map<ReplyToken, EntryRequest>;
 
+struct TargetChoice
+{
+    const Target *target = nullptr; ///< Null if the request cannot be sent now.
+    /// Of the targets that were passed over for lack of a permit, the one whose next permit is
+    /// expected first; null if there was none.
+    const Target *rateLimited = nullptr;
+    /// A target that has refused the request before and may accept it now; null if there is none.
+    const Target *alreadyTried = nullptr;
+};
+
 struct Handler
 {
     EntryState &state;
@@ -164,8 +174,15 @@
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
         std::erase_if(this->state.reportedWaiting,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
-        std::erase_if(this->state.rateLimits,
-                      [&](const auto &entry) { return targets.count(entry.first) == 0; });
+        retainTargets(this->state.permits,
+                      [&](const TargetId &target) { return targets.count(target) != 0; });
+        this->retryAwaitingPermits();
+    }
+
+    void operator()(const PermitsReceived &event)
+    {
+        recordGrant(this->state.permits, event, this->now);
+        this->retryAwaitingPermits();
     }
 
     void operator()(const EntryTick &)
@@ -211,13 +228,33 @@
         entry.lastEventId = entry.call->lastEventId;
         if (route->timeout > Duration{})
             entry.deadline = std::min(entry.deadline, this->now + route->timeout);
+        entry.objectiveAt = entry.deadline;
+        if (!entry.scoreRequest && route->latencyObjective > Duration{})
+            entry.objectiveAt = std::min(entry.deadline, this->now + route->latencyObjective);
         this->sendNextAttempt(position);
     }
 
     void noteRateLimit(const TargetId &target, const std::optional<RequestRate> &limit)
     {
-        if (recordRateLimit(this->state.rateLimits, target, limit))
-            this->actions.emplace_back(RateLimitChanged{target, limit});
+        if (!recordRateLimit(this->state.permits, target, limit))
+            return;
+        this->actions.emplace_back(RateLimitChanged{target, limit});
+        if (!limit)
+            this->retryAwaitingPermits();
+    }
+
+    // Considers all requests that wait for a permit again, clients' requests before those of
+    // batches and older ones first.
+    void retryAwaitingPermits()
+    {
+        clearAwaiting(this->state.permits);
+        std::vector<ReplyToken> awaiting;
+        for (const auto &[reply, request] : this->state.requests) {
+            if (request.awaitsPermit)
+                awaiting.push_back(reply);
+        }
+        for (const ReplyToken reply : awaiting)
+            this->sendNextAttempt(this->state.requests.find(reply));
     }
 
     bool mayAttempt(const EntryRequest &request) const
@@ -230,33 +267,66 @@
     {
         EntryRequest &request = position->second;
         request.nextAttemptAt.reset();
+        request.awaitsPermit = false;
         if (!this->mayAttempt(request) || (!request.repeatable && !request.openAttempts.empty()))
             return;
-        const Target *target = this->chooseTarget(request);
-        if (target == nullptr) {
-            if (request.openAttempts.empty())
-                this->finishUnserved(position, EntryVerdict::NoTarget);
+        const TargetChoice choice = this->chooseTarget(request);
+        if (choice.target != nullptr)
+            return this->sendTo(position, *choice.target);
+        if (!request.openAttempts.empty())
+            return;
+        if (choice.rateLimited != nullptr && this->awaitTarget(position, *choice.rateLimited))
             return;
-        }
+        if (choice.alreadyTried != nullptr)
+            return this->sendTo(position, *choice.alreadyTried);
+        if (choice.rateLimited == nullptr)
+            return this->finishUnserved(position, EntryVerdict::NoTarget);
+        wantPermit(this->state.permits, choice.rateLimited->id, this->now);
+        this->finishUnserved(
+                position, EntryVerdict::RateLimited,
+                expectedTargetDelay(this->state.permits, choice.rateLimited->id, this->now));
+    }
+
+    void sendTo(Requests::iterator position, const Target &target)
+    {
+        EntryRequest &request = position->second;
+        usePermit(this->state.permits, target.id, this->now);
         const OperationId operation = this->state.nextOperation;
         this->state.nextOperation = next(operation);
         ++request.attemptCount;
         request.openAttempts.insert(operation);
-        request.triedTargets.insert(target->id);
-        request.lastTarget = target->id;
-        ++this->state.attemptsPerTarget[target->id];
-        recordSent(this->state.health[target->id], this->now);
+        request.triedTargets.insert(target.id);
+        request.lastTarget = target.id;
+        ++this->state.attemptsPerTarget[target.id];
+        recordSent(this->state.health[target.id], this->now);
         this->state.attempts.emplace(operation,
-                                     EntryAttempt{target->id, this->now, position->first, false});
-        this->actions.emplace_back(SendAttempt{operation, *target, request.call, request.deadline,
+                                     EntryAttempt{target.id, this->now, position->first, false});
+        this->actions.emplace_back(SendAttempt{operation, target, request.call, request.deadline,
                                                request.kind == RouteKind::Stream,
                                                request.repeatable, request.lastEventId});
         if (request.repeatable && request.kind != RouteKind::Stream && this->mayAttempt(request))
             request.nextAttemptAt = this->now + this->state.settings.hedgeDelay;
     }
 
-    // Targets that the request was already sent to are chosen only if there is no other.
-    const Target *chooseTarget(const EntryRequest &request)
+    // Lets the request wait for a permit of the target. Returns false if that takes too long: a
+    // request that cannot be sent within its latency objective is better off at another node,
+    // unless it may have run already, so that it cannot be refused any more.
+    bool awaitTarget(Requests::iterator position, const Target &target)
+    {
+        EntryRequest &request = position->second;
+        Permits &permits = this->state.permits;
+        const Time latest = request.mayHaveRun ? request.deadline : request.objectiveAt;
+        const auto expectedAt = expectedPermitAt(permits, target.id, this->now);
+        if (expectedAt && *expectedAt >= latest)
+            return false;
+        request.awaitsPermit = true;
+        request.nextAttemptAt = awaitPermit(permits, target.id, latest, this->now);
+        return true;
+    }
+
+    // Targets that the request was already sent to are chosen only if there is no other, or if the
+    // others take no request in time.
+    TargetChoice chooseTarget(const EntryRequest &request)
     {
         std::vector<Candidate> untried;
         std::vector<Candidate> alreadyTried;
@@ -269,12 +339,38 @@
                                       0, isUsable(this->state.health[id], this->now)};
             (request.triedTargets.count(id) == 0 ? untried : alreadyTried).push_back(candidate);
         }
+        if (untried.empty() && request.openAttempts.empty())
+            return this->choosePermitted(std::move(alreadyTried));
+        TargetChoice choice = this->choosePermitted(std::move(untried));
+        if (choice.target == nullptr && request.refusals > 0)
+            choice.alreadyTried = this->choosePermitted(std::move(alreadyTried)).target;
+        return choice;
+    }
+
+    // Targets without a permit are passed over. The first of them gets a permit requested, so that
+    // it keeps its share of the requests.
+    TargetChoice choosePermitted(std::vector<Candidate> candidates)
+    {
         constexpr auto noLimit = std::numeric_limits<std::uint32_t>::max();
-        if (!untried.empty())
-            return chooseByOwnCount(untried, noLimit, this->state.random);
-        if (alreadyTried.empty() || !request.openAttempts.empty())
-            return nullptr;
-        return chooseByOwnCount(alreadyTried, noLimit, this->state.random);
+        Permits &permits = this->state.permits;
+        TargetChoice choice;
+        const Target *preferred = nullptr;
+        while (const Target *target = chooseByOwnCount(candidates, noLimit, this->state.random)) {
+            if (hasPermit(permits, target->id, this->now)) {
+                choice.target = target;
+                break;
+            }
+            preferred = preferred == nullptr ? target : preferred;
+            const auto permitAt = [&](const Target &limited) {
+                return expectedPermitAt(permits, limited.id, this->now).value_or(this->now);
+            };
+            if (choice.rateLimited == nullptr || permitAt(*target) < permitAt(*choice.rateLimited))
+                choice.rateLimited = target;
+            std::erase_if(candidates, [&](const Candidate &c) { return c.target == target; });
+        }
+        if (choice.target != nullptr && preferred != nullptr)
+            wantPermit(permits, preferred->id, this->now);
+        return choice;
     }
 
     // Retries after an attempt that did not run and therefore does not count.
@@ -287,9 +383,13 @@
             return;
         if (request.refusals > this->state.settings.maxRefusals || !this->mayAttempt(request))
             return this->finishUnserved(position, EntryVerdict::TargetsFull);
+        const auto targets = servingTargets(*this->state.directory->targets, request.service);
         const bool hasUntried =
-                request.triedTargets.size()
-                < servingTargets(*this->state.directory->targets, request.service).size();
+                std::any_of(targets.begin(), targets.end(), [&](const FleetTarget *candidate) {
+                    const TargetId &id = candidate->target.id;
+                    return request.triedTargets.count(id) == 0
+                           && hasPermit(this->state.permits, id, this->now);
+                });
         if (hasUntried)
             return this->sendNextAttempt(position);
         request.nextAttemptAt = this->now + this->state.settings.refusalBackoff * request.refusals;
@@ -311,7 +411,8 @@
     }
 
     // Ends a request that no target answered successfully.
-    void finishUnserved(Requests::iterator position, EntryVerdict verdict)
+    // \param retryDelay the time after which a target is expected to accept the request.
+    void finishUnserved(Requests::iterator position, EntryVerdict verdict, Duration retryDelay = {})
     {
         EntryRequest &request = position->second;
         if (request.headSent) {
@@ -327,14 +428,15 @@
             return this->finish(position, {status::gatewayTimeout}, verdict);
         if (mayHaveRun)
             return this->finish(position, {status::badGateway}, EntryVerdict::Failed);
-        this->refuse(position, verdict, status::unavailable);
+        this->refuse(position, verdict, status::unavailable, retryDelay);
     }
 
-    void refuse(Requests::iterator position, EntryVerdict verdict, std::uint32_t status)
+    void refuse(Requests::iterator position, EntryVerdict verdict, std::uint32_t status,
+                Duration retryDelay = {})
     {
         EntryAnswer answer{status};
         if (status == status::unavailable)
-            answer.retryAfter = this->state.settings.retryAfter;
+            answer.retryAfter = std::max(this->state.settings.retryAfter, retryDelay);
         this->finish(position, answer, verdict);
     }
 
@@ -438,12 +540,14 @@
 {
     Handler handler{state, now, {}};
     std::visit(handler, event);
+    for (const RequestPermits &request : duePermitRequests(state.permits, now))
+        handler.actions.emplace_back(request);
     return std::move(handler.actions);
 }
 
 std::optional<Time> dueAt(const EntryState &state)
 {
-    std::optional<Time> due;
+    std::optional<Time> due = dueAt(state.permits);
     for (const auto &[reply, request] : state.requests) {
         const Time requestDue =
                 std::min(request.deadline, request.nextAttemptAt.value_or(request.deadline));
--- a/packages/core/src/limits/request_rate.cpp
+++ b/packages/core/src/limits/request_rate.cpp
@@ -10,17 +10,4 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate.perSecond));
 }
 
-bool recordRateLimit(RateLimits &limits, const TargetId &target,
-                     const std::optional<RequestRate> &limit)
-{
-    const auto known = limits.find(target);
-    if (known == limits.end() ? !limit : limit == known->second)
-        return false;
-    if (limit)
-        limits[target] = *limit;
-    else
-        limits.erase(known);
-    return true;
-}
-
 } // namespace geraniumpulley::core
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -97,6 +97,22 @@
     CHECK(fixture.item(run).text == "event");
 }
 
+TEST_CASE("an engine with a rate limit gets no run without a permit")
+{
+    SingleBatchFixture fixture;
+    const StartRun run = fixture.startedRuns[0];
+    const StartRun other = fixture.startedRuns[1];
+    for (const StartRun &started : {run, other})
+        fixture.send(RunHeadReceived{started.run, WeightVersion{2}, RequestRate{3}});
+    fixture.send(RunEnded{run.run, RunEnd::Broken, {}});
+    CHECK(fixture.startedRuns.size() == 2);
+    CHECK(fixture.count<RequestPermits>() == 1);
+    fixture.send(PermitsReceived{other.target.id, PermitGrant{1}});
+    REQUIRE(fixture.startedRuns.size() == 3);
+    CHECK(fixture.startedRuns[2].itemIndex == run.itemIndex);
+    CHECK(fixture.startedRuns[2].target.id == other.target.id);
+}
+
 TEST_CASE("a repeated event is ignored")
 {
     SingleBatchFixture fixture;
--- a/packages/core/tests/entry/unit-entry.cpp
+++ b/packages/core/tests/entry/unit-entry.cpp
@@ -377,3 +377,51 @@
         CHECK(harness.state.requests.empty());
     }
 }
+
+TEST_CASE("a request that a rate limit allows too late is refused at once, with the time to return")
+{
+    EntryHarness harness(1);
+    harness.call(1, "/safe/x");
+    AttemptAnswered answered;
+    answered.operation = harness.find<SendAttempt>()->operation;
+    answered.answer.status = 200;
+    answered.hasSignature = true;
+    answered.rateLimit = RequestRate{0.5};
+    harness.send(answered);
+    REQUIRE(harness.find<RateLimitChanged>() != nullptr);
+    harness.call(2, "/safe/x");
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    REQUIRE(harness.find<RequestPermits>() != nullptr);
+    CHECK(harness.find<RequestPermits>()->count == 1);
+    harness.send(PermitsReceived{{"t0"}, PermitGrant{0, {}, 2s, 500ms, 1900ms}});
+    REQUIRE(harness.find<AnswerEntryCall>() != nullptr);
+    CHECK(harness.find<AnswerEntryCall>()->verdict == EntryVerdict::RateLimited);
+    CHECK(harness.find<AnswerEntryCall>()->answer.status == 503);
+    CHECK(harness.find<AnswerEntryCall>()->answer.retryAfter == 1900ms);
+}
+
+TEST_CASE("a request waits for a permit that comes in time")
+{
+    EntryHarness harness(1);
+    recordRateLimit(harness.state.permits, {"t0"}, RequestRate{5});
+    harness.call(1, "/safe/x");
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    harness.send(PermitsReceived{{"t0"}, PermitGrant{1, 80ms, 200ms}});
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    CHECK(dueAt(harness.state) == harness.now + 80ms);
+    harness.advance(80ms);
+    CHECK(harness.find<SendAttempt>() != nullptr);
+    CHECK(harness.find<RequestPermits>() == nullptr);
+}
+
+TEST_CASE("requests that wait for a permit are sent when the target states no limit any more")
+{
+    EntryHarness harness(1);
+    harness.call(1, "/safe/x");
+    const OperationId operation = harness.find<SendAttempt>()->operation;
+    recordRateLimit(harness.state.permits, {"t0"}, RequestRate{5});
+    harness.call(2, "/safe/x");
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    harness.answer(operation, 200);
+    CHECK(harness.find<SendAttempt>() != nullptr);
+}
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -1,5 +1,6 @@
 #include "batch_store.hpp"
 #include "duties.hpp"
+#include "permit_link.hpp"
 
 #include <geraniumpulley/platform/client_messages.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
@@ -189,6 +190,13 @@
 
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
+    void perform(core::RequestPermits &&request)
+    {
+        requestPermits(this->parts, request, "batches", [this](core::PermitsReceived &&received) {
+            this->push(std::move(received));
+        });
+    }
+
     void perform(core::BatchesDrained &&) { this->parts.batchesDrained.set(); }
 };
 
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -1,4 +1,5 @@
 #include "duties.hpp"
+#include "permit_link.hpp"
 
 #include <geraniumpulley/platform/client_messages.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
@@ -32,6 +33,8 @@
         return "no_target";
     case core::EntryVerdict::TargetsFull:
         return "targets_full";
+    case core::EntryVerdict::RateLimited:
+        return "rate_limited";
     case core::EntryVerdict::Failed:
         return "failed";
     case core::EntryVerdict::TimedOut:
@@ -154,6 +157,13 @@
 
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
+    void perform(core::RequestPermits &&request)
+    {
+        requestPermits(this->parts, request, "calls", [this](core::PermitsReceived &&received) {
+            this->push(std::move(received));
+        });
+    }
+
     void perform(core::ScoreCompleted &&completion)
     {
         this->parts.logger.write(
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/batch/batch_duty.hpp>
 #include <geraniumpulley/core/entry/entry.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
+#include <geraniumpulley/core/limits/rate_limiter.hpp>
 #include <geraniumpulley/net/http_client.hpp>
 #include <geraniumpulley/net/http_server.hpp>
 #include <geraniumpulley/net/peer_link.hpp>
@@ -74,6 +75,22 @@
     std::map<core::FleetTable, std::vector<codec::RowCopy>> tables;
 };
 
+/// The schedules of the targets whose requests this node limits, for its own duties and for other
+/// nodes.
+class SharedRateLimiter
+{
+public:
+    core::PermitGrant grant(const core::PermitRequest &request, core::Time now)
+    {
+        const std::lock_guard lock(this->mutex);
+        return core::grantPermits(this->limiter, request, now);
+    }
+
+private:
+    std::mutex mutex;
+    core::RateLimiter limiter;
+};
+
 /// The parts that the duties of one process share: network clients and servers, the timer, the log
 /// and the metrics.
 ///
@@ -87,6 +104,7 @@
     runtime::Metrics metrics;
     SharedDirectory directory;
     SharedTables tables;
+    SharedRateLimiter rateLimiter;
     runtime::Duty<core::FleetEvent> fleet{decisionRingCapacity};
     runtime::Duty<core::EntryEvent> calls{decisionRingCapacity};
     runtime::Duty<core::BatchEvent> batches{decisionRingCapacity};
--- a/packages/entry/src/peer_paths.hpp
+++ b/packages/entry/src/peer_paths.hpp
@@ -5,5 +5,6 @@
 
 inline constexpr const char *storeRelayPath = "/store"; ///< Relays a call to the store.
 inline constexpr const char *tablesPath = "/tables"; ///< Requests a copy of the tables.
+inline constexpr const char *permitsPath = "/permits"; ///< Requests permits for a target.
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -2,6 +2,7 @@
 
 #include "batch_store.hpp"
 #include "peer_paths.hpp"
+#include "permit_link.hpp"
 
 #include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
@@ -93,6 +94,10 @@
         parts.storeLink->relay(message);
         return true;
     }
+    if (message.path == permitsPath) {
+        replyToPermitRequest(parts, message);
+        return true;
+    }
     if (message.path != tablesPath)
         return false;
     parts.peerLink->reply(message.token, codec::encodeRowCopies(parts.tables.allRows()));
