--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -205,6 +205,7 @@
 {
     OperationId run{};
     Target target;
+    SoftwareVersion software; ///< The target's software, for the log.
     BatchId batch;
     std::shared_ptr<const BatchSpec> spec;
     std::uint32_t itemIndex = 0; ///< Index of the item in the batch.
--- a/packages/core/include/geraniumpulley/core/fleet/fleet_target.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet_target.hpp
@@ -18,6 +18,7 @@
 struct FleetTarget
 {
     Target target;
+    SoftwareVersion software; ///< Empty if the target states none.
     /// The number of requests that the target processes concurrently.
     std::uint32_t slots = 1;
     WeightMap weights;
--- a/packages/core/include/geraniumpulley/core/identifier.hpp
+++ b/packages/core/include/geraniumpulley/core/identifier.hpp
@@ -26,6 +26,10 @@
 /// The name of a trainer of the submitted configuration.
 using TrainerName = Identifier<struct TrainerTag>;
 
+/// The version of the software that a target runs. What targets of different software have
+/// generated does not fit together.
+using SoftwareVersion = Identifier<struct SoftwareTag>;
+
 /// Correlates the answer of a duty with the request for it; unique within one process.
 enum class OperationId : std::uint64_t {};
 
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -99,9 +99,9 @@
     const Duration timeout = route.giveUpAfter > Duration{} ? route.giveUpAfter : defaultTimeout;
     const std::uint32_t urgency =
             item.nextRunCause == RunCause::First ? defaultUrgency : resumedUrgency;
-    context.actions.emplace_back(StartRun{run, engine.target, batch.head.id, batch.spec, index,
-                                          item.lastEventId, urgency, batch.submittedAt + timeout,
-                                          item.nextRunCause});
+    context.actions.emplace_back(StartRun{run, engine.target, engine.software, batch.head.id,
+                                          batch.spec, index, item.lastEventId, urgency,
+                                          batch.submittedAt + timeout, item.nextRunCause});
     item.phase = ItemPhase::Running;
     item.run = run;
     item.lastTarget = engine.target.id;
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -94,8 +94,8 @@
         const std::string &item = run.spec->items[run.itemIndex].id.value;
         this->parts.logger.write(
                 "run_started", field("item", item), field("batch", run.batch.value),
-                field("target", run.target.id.value), field("after", run.lastEventId),
-                field("cause", nameOf(run.cause)));
+                field("target", run.target.id.value), field("software", run.software.value),
+                field("after", run.lastEventId), field("cause", nameOf(run.cause)));
         net::HttpRequest request = platform::encodeRun(run, runtime::now());
         request.deadline = run.deadline;
         request.connectTimeout = connectTimeout;
