--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -83,7 +83,7 @@
 }
 
 void PlatformFleet::startWorker(const std::string &name, const std::string &service,
-                                const std::string &model)
+                                const std::string &model, const std::string &software)
 {
     this->start(name, {STANDIN_PROGRAM, "--role", "worker"}, "port");
     fetch(this->uriOf(name) + "/_worker", "POST",
@@ -91,9 +91,9 @@
     const std::string models =
             model.empty() ? "" : fmt::format(R"("models":[{{"name":"{}","version":1}}],)", model);
     this->writeRow("servers", name,
-                   fmt::format(R"({{"service":"{}","address":"{}","zone":"zone","version":"v1",)"
+                   fmt::format(R"({{"service":"{}","address":"{}","zone":"zone","version":"{}",)"
                                R"("slots":8,"state":"ready",{}"sequence":0,"born":1}})",
-                               service, this->connectAddress(name, name), models));
+                               service, this->connectAddress(name, name), software, models));
 }
 
 void PlatformFleet::configureWorker(const std::string &name, const std::string &settings)
--- a/tests/live/platform_fleet.hpp
+++ b/tests/live/platform_fleet.hpp
@@ -22,8 +22,9 @@
 
     void startNode(const std::string &name);
     /// Starts a worker and adds its row to the table of servers. \param model empty for a plain
-    /// service.
-    void startWorker(const std::string &name, const std::string &service, const std::string &model);
+    /// service. \param software the version of its software that its row states.
+    void startWorker(const std::string &name, const std::string &service, const std::string &model,
+                     const std::string &software = "v1");
     ChildProcess &process(const std::string &name) { return *this->processes.at(name); }
     /// Changes how a running worker answers. \param settings JSON for its `/_worker` endpoint.
     void configureWorker(const std::string &name, const std::string &settings);
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -54,6 +54,27 @@
     });
 }
 
+bool hasPartialTexts(live::PlatformFleet &fleet, const std::string &batch)
+{
+    const HttpReply reply = live::fetch("http://" + fleet.addresses.at("store")
+                                                + "/-/rows-get?table=batch-contents&part=" + batch
+                                                + "&from=partial&to=partial~",
+                                        "GET");
+    return reply.body.find("\"partial") != std::string::npos;
+}
+
+// Returns whether a node has continued a text behind an event.
+bool wasResumed(live::PlatformFleet &fleet)
+{
+    return std::any_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const std::string &node) {
+        const std::vector<std::string> lines = fleet.process(node).lines();
+        return std::any_of(lines.begin(), lines.end(), [](const std::string &line) {
+            return line.find("event=run_started") != std::string::npos
+                   && line.find(" after=0 ") == std::string::npos;
+        });
+    });
+}
+
 std::size_t executedCount(live::PlatformFleet &fleet, const std::string &worker)
 {
     return web::json::value::parse(fleet.executedRequestIds(worker)).size();
@@ -180,6 +201,37 @@
     CHECK(fleet.call("node-d", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status == 503);
 }
 
+// The text of an item must come from workers of one software version.
+TEST_CASE("on the platform no text is joined from two software versions when all nodes are killed")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    fleet.startWorker("engine-3", "engines", "m", "v2");
+    fleet.startWorker("engine-4", "engines", "m", "v2");
+    for (const char *engine : {"engine-1", "engine-2"})
+        fleet.configureWorker(engine, R"({"software": "v1", "events": 300})");
+    for (const char *engine : {"engine-3", "engine-4"})
+        fleet.configureWorker(engine, R"({"software": "v2", "events": 300})");
+    for (const char *batch : {"b1", "b2"})
+        REQUIRE(submit(fleet, "node-a", batch));
+    REQUIRE(fleet.waitFor([&] { return hasPartialTexts(fleet, "b1"); }));
+    REQUIRE(fleet.waitFor([&] { return hasPartialTexts(fleet, "b2"); }));
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.process(node).signal(SIGKILL);
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.startNode(node);
+    REQUIRE(fleet.waitUntilReady());
+    for (const char *batch : {"b1", "b2"}) {
+        REQUIRE(waitForBatch(fleet, "node-c", batch));
+        for (const std::string &result : readResults(fleet, "node-c", batch)) {
+            const bool hasFirst = result.find(":v1") != std::string::npos;
+            const bool hasSecond = result.find(":v2") != std::string::npos;
+            CHECK(hasFirst != hasSecond);
+        }
+    }
+    CHECK(wasResumed(fleet));
+}
+
 // Several nodes that each keep to the limit exceed it together.
 TEST_CASE("on the platform nodes together send a target no more than one and a half times the rate "
           "limit that it states")
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -39,6 +39,8 @@
     std::uint64_t highestFencingToken = 0;
     std::uint64_t remainingRefusals = 0; // How many of the next requests are refused.
     std::string rateLimit; // The limit stated in answers; empty for none.
+    std::string software; // Ends the data of each event; empty for none.
+    std::uint64_t fixedEventCount = 0; // The length of all texts; 0 for one that follows the id.
     std::vector<value> executedRequestIds;
 
     Reply serve(const ServerRequest &request)
@@ -68,6 +70,10 @@
             this->remainingRefusals = settings.at("refusals").as_number().to_uint64();
         if (settings.has_field("rate_limit"))
             this->rateLimit = settings.at("rate_limit").as_string();
+        if (settings.has_field("software"))
+            this->software = settings.at("software").as_string();
+        if (settings.has_field("events"))
+            this->fixedEventCount = settings.at("events").as_number().to_uint64();
         return {};
     }
 
@@ -122,12 +128,13 @@
     // chunked answer.
     void streamEvent(Reply &reply, const std::string &item, std::uint64_t eventId)
     {
-        if (eventId > eventCount(item)) {
+        if (eventId > (this->fixedEventCount > 0 ? this->fixedEventCount : eventCount(item))) {
             reply.body.clear();
             reply.nextPart = nullptr;
             return;
         }
-        reply.body = fmt::format("id: {}\ndata: {}:{}\n\n", eventId, item, eventId);
+        reply.body = fmt::format("id: {}\ndata: {}:{}{}\n\n", eventId, item, eventId,
+                                 this->software.empty() ? "" : ":" + this->software);
         reply.delay = timePerEvent;
         reply.nextPart = [this, item, eventId] {
             Reply next;
