Save up unused permits of a target for a burst

Cause: the limiter's schedule forgot what was not used. Change: it saves up half a second of the limit, or three permits if that is more; permits lapse after 0.5 s instead of 0.8 s, so that any 4 s stay below 1.5 x limit + 5. The check of unit-rate_limiter on all grants in 20 s now counts the horizon and the burst.

--- a/packages/codec/include/geraniumpulley/codec/permit_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/permit_messages.hpp
@@ -12,7 +12,7 @@
 core::Result<core::PermitRequest> decodePermitRequest(const std::string &bytes);
 
 std::string encodePermits(const core::PermitGrant &grant);
-/// Errors: `Errc::SchemaMismatch` also for a negative delay.
+/// Errors: `Errc::SchemaMismatch` also for a negative interval, retry or expected delay.
 core::Result<core::PermitGrant> decodePermitGrant(const std::string &bytes);
 
 } // namespace geraniumpulley::codec
--- a/packages/codec/src/permit_messages.cpp
+++ b/packages/codec/src/permit_messages.cpp
@@ -47,7 +47,7 @@
     if (!wire)
         return wire.error();
     const auto &[count, firstDelay, interval, retryDelay, expectedDelay] = wire.value();
-    if (std::min({firstDelay, interval, retryDelay, expectedDelay}) < 0)
+    if (std::min({interval, retryDelay, expectedDelay}) < 0)
         return make_error_code(Errc::SchemaMismatch);
     return core::PermitGrant{count, core::Duration(firstDelay), core::Duration(interval),
                              core::Duration(retryDelay), core::Duration(expectedDelay)};
--- a/packages/core/include/geraniumpulley/core/limits/permits.hpp
+++ b/packages/core/include/geraniumpulley/core/limits/permits.hpp
@@ -18,7 +18,7 @@
 {
     /// How long a permit stays usable. Together with the limiter's horizon it bounds how many
     /// unused permits can be used at once.
-    Duration lifetime = std::chrono::milliseconds(800);
+    Duration lifetime = std::chrono::milliseconds(500);
     /// How long the deputy is asked after the limiter has not replied.
     Duration deputyPeriod = std::chrono::seconds(1);
     /// The delay before the next request after the deputy has not replied either.
--- a/packages/core/include/geraniumpulley/core/limits/rate_limiter.hpp
+++ b/packages/core/include/geraniumpulley/core/limits/rate_limiter.hpp
@@ -31,7 +31,8 @@
 struct PermitGrant
 {
     std::uint32_t count = 0; ///< The number of granted permits, from 0 to the requested number.
-    Duration firstDelay{}; ///< The time until the first permit may be used.
+    /// The time until the first permit may be used; negative for one that was saved up.
+    Duration firstDelay{};
     Duration interval{}; ///< The time from one permit to the next.
     /// The time after which the permits that were not granted may be requested again.
     Duration retryDelay{};
@@ -45,6 +46,10 @@
 {
     /// How far ahead permits are granted. It bounds what a requester that stops can leave unused.
     Duration horizon = std::chrono::milliseconds(200);
+    /// How much of the limit that was not used is saved up for a burst, such as the items of a new
+    /// batch: the time, or the number of permits if that is more.
+    Duration burstTime = std::chrono::milliseconds(500);
+    std::uint32_t burstCount = 3;
     /// The minimum time between two requests of a requester that wants more than it was granted.
     Duration minRetryDelay = std::chrono::milliseconds(100);
     /// The same for a requester for whom no permit is kept, for each requester of the target. It
@@ -76,7 +81,8 @@
 };
 
 /// Grants permits in the order in which requesters have asked.
-/// Invariant: the granted permits of a target are at least the interval of its limit apart.
+/// Invariant: the granted permits of a target are one interval of its limit apart, but for those
+/// that were saved up.
 /// Complexity: linear in targets and in the requesters of the target.
 PermitGrant grantPermits(RateLimiter &limiter, const PermitRequest &request, Time now);
 
--- a/packages/core/src/limits/permits.cpp
+++ b/packages/core/src/limits/permits.cpp
@@ -65,7 +65,7 @@
     }
     const PermitGrant &grant = *event.grant;
     for (std::uint32_t i = 0; i < grant.count; ++i)
-        target->usableFrom.push_back(now + grant.firstDelay + grant.interval * i);
+        target->usableFrom.push_back(now + std::max(grant.firstDelay + grant.interval * i, {}));
     target->retryAt = now + grant.retryDelay;
     target->expectedAt = now + grant.expectedDelay;
 }
--- a/packages/core/src/limits/rate_limiter.cpp
+++ b/packages/core/src/limits/rate_limiter.cpp
@@ -40,9 +40,10 @@
     const RateLimiterSettings &settings = limiter.settings;
     const Duration interval = requestInterval(request.limit);
     PermitSchedule &schedule = openSchedule(limiter, request, now);
+    const Duration burst = std::max(settings.burstTime, interval * settings.burstCount);
     // The upper bound takes effect when the target has raised its limit.
     schedule.nextPermitAt =
-            std::clamp(schedule.nextPermitAt, now, now + settings.horizon + interval);
+            std::clamp(schedule.nextPermitAt, now - burst, now + settings.horizon + interval);
     const auto place = std::find_if(schedule.waiting.begin(), schedule.waiting.end(),
                                     [&](const WaitingRequester &waiting) {
                                         return waiting.requester == request.requester;
