Continue a batch item only at an engine of the software that began its text

Cause: a text that has begun was continued at any engine with the right weights, and neither the text in memory nor the stored partial text said which software had made it. Class: a resumable state without the identity of what made it.

Change: an item remembers the software of its first event, and the stored partial text carries it, so that a takeover knows it too. Engines of other software are not chosen. If no engine runs that software any more, or waiting for one has taken as long as generating the text again, the item starts over. Partial texts of earlier builds do not state their software; they lie under another key, are not resumed, and builds of both kinds can take batches over from each other.

--- a/packages/codec/src/row_messages.cpp
+++ b/packages/codec/src/row_messages.cpp
@@ -18,8 +18,8 @@
                                  std::string, std::uint64_t, std::uint64_t>;
 using ItemResultWire =
         std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
-using PartialTextWire =
-        std::tuple<std::uint32_t, std::string, std::uint64_t, std::vector<std::uint64_t>>;
+using PartialTextWire = std::tuple<std::uint32_t, std::string, std::uint64_t,
+                                   std::vector<std::uint64_t>, std::string>;
 using HeartbeatWire = std::tuple<std::string, std::string, std::string, std::uint64_t,
                                  std::uint64_t, bool, std::uint32_t>;
 using WeightOrderLeaseWire = std::tuple<std::string, std::uint64_t>;
@@ -100,7 +100,7 @@
 std::string encodePartialText(const core::PartialText &partial)
 {
     return pack(PartialTextWire{partial.itemIndex, partial.text, partial.lastEventId,
-                                toWire(partial.versions)});
+                                toWire(partial.versions), partial.software.value});
 }
 
 core::Result<core::PartialText> decodePartialText(const std::string &bytes)
@@ -108,8 +108,9 @@
     auto wire = unpack<PartialTextWire>(bytes);
     if (!wire)
         return wire.error();
-    auto &[itemIndex, text, lastEventId, versions] = wire.value();
-    return core::PartialText{itemIndex, std::move(text), lastEventId, fromWire(versions)};
+    auto &[itemIndex, text, lastEventId, versions, software] = wire.value();
+    return core::PartialText{
+            itemIndex, std::move(text), lastEventId, fromWire(versions), {std::move(software)}};
 }
 
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat)
--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -68,7 +68,7 @@
             R"({"reward":0.5})",
             codec::encodeBatchHead({{"b"}, {"node"}, 7, false, 2, core::Duration(5), {}}),
             codec::encodeItemResult({{"i"}, core::ItemOutcome::Completed, "t", {{}, {}}, "s"}),
-            codec::encodePartialText({1, "t", 3, {core::WeightVersion{2}}}),
+            codec::encodePartialText({1, "t", 3, {core::WeightVersion{2}}, {"v1"}}),
             codec::encodeHeartbeat({{{"node"}, "a:1", "zone", 7}, 9, true}),
             codec::encodeRowCopies({{core::FleetTable::Targets, "k", "v", core::RowVersion{4}}}),
             codec::encodeRelay(codec::RelayedCall{"GET", "/x", "b", core::Duration(5)}),
--- a/packages/codec/tests/unit-row_messages.cpp
+++ b/packages/codec/tests/unit-row_messages.cpp
@@ -31,7 +31,7 @@
     const core::ItemResult result{
             {"i"}, core::ItemOutcome::Completed, "a\nb", {core::WeightVersion{6}}, "score"};
     CHECK(codec::decodeItemResult(codec::encodeItemResult(result)).value() == result);
-    const core::PartialText partial{3, "text", 4, {core::WeightVersion{6}}};
+    const core::PartialText partial{3, "text", 4, {core::WeightVersion{6}}, {"v2"}};
     CHECK(codec::decodePartialText(codec::encodePartialText(partial)).value() == partial);
 }
 
--- a/packages/core/include/geraniumpulley/core/batch/batch.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch.hpp
@@ -69,6 +69,7 @@
     std::string text;
     std::uint64_t lastEventId = 0;
     std::vector<WeightVersion> versions;
+    SoftwareVersion software; ///< The software that generated the text.
 
     bool operator==(const PartialText &) const = default;
 };
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -53,6 +53,9 @@
     Duration slowRunCheckPeriod = std::chrono::milliseconds(250);
     /// Time that a run stays on its engine before it can be moved.
     Duration minRunTime = std::chrono::milliseconds(500);
+    /// Time in which an engine usually generates an event. A text that has waited for an engine of
+    /// its software as long as it would take to generate it again is started over.
+    Duration usualEventTime = std::chrono::milliseconds(30);
     /// Usable share of the slots of an engine that is assigned to another model.
     std::uint32_t spilloverPercent = 50;
     /// Age at which a batch is removed from the store; longer than trainers may read its results.
@@ -84,12 +87,14 @@
     std::string text; ///< The text received so far.
     std::uint64_t lastEventId = 0; ///< Number of the last event in the text; 0 if none.
     std::vector<WeightVersion> versions; ///< Versions that generated the text, ascending.
+    SoftwareVersion software; ///< The software that generated the text.
     OperationId run{}; ///< The current run, in the phase `Running`.
     std::uint32_t startedRuns = 0; ///< Number of runs started.
     std::uint32_t failures = 0; ///< Answers of engines that ran the item and failed.
     std::uint32_t unprocessableAnswers = 0; ///< Answers that the item can never be run.
     std::uint32_t scoreFailures = 0; ///< Scoring requests that the scorer failed.
     Time notBefore{}; ///< Earliest time of the next run or scoring request.
+    Time waitingSince{}; ///< When the item began to wait for an engine.
     std::uint64_t lastStoredEventId = 0; ///< Last event of the partial text in the store.
     TargetId lastTarget; ///< Engine of the last run.
     RunCause nextRunCause = RunCause::First; ///< Cause of the next run.
@@ -185,6 +190,7 @@
     BatchId batch;
     std::uint32_t itemIndex = 0; ///< Index of the item in the batch.
     TargetId target;
+    SoftwareVersion software; ///< The target's software.
     Time startedAt{};
     Time lastEventAt{}; ///< Time of the last event, or of the start.
     std::uint64_t resumedAfterEventId = 0; ///< Last event received before this run; 0 if none.
--- a/packages/core/src/batch/batch_commits.cpp
+++ b/packages/core/src/batch/batch_commits.cpp
@@ -63,7 +63,7 @@
         const ItemState &item = batch.items[i];
         if (item.phase != ItemPhase::Finished
             && item.lastEventId >= item.lastStoredEventId + newEvents)
-            partials.push_back({i, item.text, item.lastEventId, item.versions});
+            partials.push_back({i, item.text, item.lastEventId, item.versions, item.software});
     }
     return partials;
 }
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -82,6 +82,9 @@
 void moveSlowRuns(BatchContext &context);
 /// Finishes all open items as lost once the batch is past the route's time limit.
 void finishExpiredItems(BatchContext &context, OwnedBatch &batch);
+/// \return when a waiting item may be started over although engines run the software that began
+/// its text.
+Time restartDueAt(const ItemState &item, const BatchSettings &settings);
 /// Cancels a run. Its item is not changed.
 void cancelRun(BatchContext &context, OperationId run);
 /// \return the batch route that the current directory has for the batch, or null.
@@ -89,7 +92,8 @@
 
 // engine_choice.cpp
 
-/// \return the engine for an item, or null if none has a free slot and a permit. Requests a permit
+/// \return the engine for an item, or null if none has a free slot and a permit. A text that has
+/// begun goes on only at an engine of its software. Requests a permit
 /// of an engine that would be better but has none. Complexity: linear in engines.
 const FleetTarget *chooseEngine(BatchContext &context, const BatchSpec &spec, const ItemState &item,
                                 const ServiceName &service);
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+// Waiting items can be started over after a while.
+void addRestartTimes(const BatchState &state, Time now, EarliestTime &earliest)
+{
+    for (const auto &[id, batch] : state.ownedBatches) {
+        for (const ItemState &item : batch.items) {
+            const Time restartAt = restartDueAt(item, state.settings);
+            if (item.phase == ItemPhase::Waiting && item.lastEventId > 0 && restartAt > now)
+                earliest.add(restartAt);
+        }
+    }
+}
+
 // Waiting items can start when a permit that they claimed becomes usable.
 void addPermitTimes(const BatchState &state, Time now, EarliestTime &earliest)
 {
@@ -195,6 +207,7 @@
     if (!state.runs.empty())
         earliest.add(state.nextSlowRunCheckAt);
     addBackoffTimes(state, now, earliest);
+    addRestartTimes(state, now, earliest);
     addPermitTimes(state, now, earliest);
     return earliest.due;
 }
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -26,7 +26,7 @@
     return indexes;
 }
 
-void restoreProgress(OwnedBatch &batch, const StoredBatch &stored)
+void restoreProgress(OwnedBatch &batch, const StoredBatch &stored, Time now)
 {
     const auto indexes = indexItems(*batch.spec);
     for (const ItemResult &result : stored.results) {
@@ -45,6 +45,8 @@
         item.lastEventId = partial.lastEventId;
         item.lastStoredEventId = partial.lastEventId;
         item.versions = partial.versions;
+        item.software = partial.software;
+        item.waitingSince = now;
         item.nextRunCause = RunCause::TakenOver;
     }
 }
@@ -184,7 +186,7 @@
     batch.submittedAt = toLocalTime(context, head.submittedAt);
     batch.nextPartialsAt = context.now + context.state.settings.partialPeriod;
     if (stored != nullptr)
-        restoreProgress(batch, *stored);
+        restoreProgress(batch, *stored, context.now);
     const OwnershipChange change = stored == nullptr || !hasStoredProgress(*stored)
                                            ? OwnershipChange::Opened
                                            : OwnershipChange::TakenOver;
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -92,6 +92,7 @@
     record.batch = batch.head.id;
     record.itemIndex = index;
     record.target = engine.target.id;
+    record.software = engine.software;
     record.startedAt = context.now;
     record.lastEventAt = context.now;
     record.resumedAfterEventId = item.lastEventId;
@@ -108,6 +109,29 @@
     ++item.startedRuns;
 }
 
+void discardText(ItemState &item)
+{
+    item.text.clear();
+    item.lastEventId = 0;
+    item.lastStoredEventId = 0;
+    item.versions.clear();
+    item.software = {};
+}
+
+// Returns whether an item whose text cannot go on now may be started over: no engine runs the
+// software that began the text, or waiting for one has cost as much as generating the text again.
+bool isRestartDue(const BatchContext &context, const ItemState &item, const ServiceName &service)
+{
+    if (item.lastEventId == 0)
+        return false;
+    const auto engines = servingTargets(*context.state.directory->targets, service);
+    const bool isServed =
+            std::any_of(engines.begin(), engines.end(), [&](const FleetTarget *engine) {
+                return engine->software == item.software;
+            });
+    return !isServed || context.now >= restartDueAt(item, context.state.settings);
+}
+
 void startWaiting(BatchContext &context)
 {
     clearAwaiting(context.state.permits);
@@ -116,12 +140,19 @@
         const Route *route = routeOf(context, *batch.spec);
         if (route == nullptr)
             continue;
+        ItemState &item = batch.items[waiting.index];
         const std::string &itemId = batch.spec->items[waiting.index].id.value;
         const ServiceName *service = pickService(*route, XXH3_64bits(itemId.data(), itemId.size()));
         if (service == nullptr)
             continue;
-        const FleetTarget *engine =
-                chooseEngine(context, *batch.spec, batch.items[waiting.index], *service);
+        const FleetTarget *engine = chooseEngine(context, *batch.spec, item, *service);
+        if (engine == nullptr && isRestartDue(context, item, *service)) {
+            ItemState restarted = item;
+            discardText(restarted);
+            engine = chooseEngine(context, *batch.spec, restarted, *service);
+            if (engine != nullptr)
+                item = std::move(restarted);
+        }
         if (engine != nullptr)
             startRun(context, batch, waiting.index, *engine, *route);
     }
@@ -166,14 +197,7 @@
     item.run = {};
     item.nextRunCause = cause;
     item.notBefore = notBefore;
-}
-
-void discardText(ItemState &item)
-{
-    item.text.clear();
-    item.lastEventId = 0;
-    item.lastStoredEventId = 0;
-    item.versions.clear();
+    item.waitingSince = notBefore;
 }
 
 void finishText(BatchContext &context, OwnedBatch &batch, std::uint32_t index)
@@ -248,6 +272,12 @@
 
 } // namespace
 
+Time restartDueAt(const ItemState &item, const BatchSettings &settings)
+{
+    return item.waitingSince
+           + settings.usualEventTime * static_cast<std::int64_t>(item.lastEventId);
+}
+
 const Route *routeOf(const BatchContext &context, const BatchSpec &spec)
 {
     const DirectoryPointer &directory = context.state.directory;
@@ -296,7 +326,9 @@
         return cancelAndRequeue(context, event.run, RunCause::AfterLoss,
                                 context.state.settings.failureBackoff);
     recordEventInterval(context, *found.record);
-    if (item.lastEventId > 0)
+    if (item.lastEventId == 0)
+        item.software = found.record->software;
+    else
         item.text += '\n';
     item.text += event.text;
     item.lastEventId = event.eventId;
--- a/packages/core/src/batch/engine_choice.cpp
+++ b/packages/core/src/batch/engine_choice.cpp
@@ -43,6 +43,11 @@
     return version >= spec.minVersion;
 }
 
+bool canContinue(const ItemState &item, const FleetTarget &engine)
+{
+    return item.lastEventId == 0 || engine.software == item.software;
+}
+
 // Maximum number of runs of this node on an engine. An engine that has refused a run is probed with
 // a single run, which shows whether it accepts work again.
 std::uint32_t maxRuns(const FleetTarget &engine, const EngineStatus *status, bool isAssigned,
@@ -96,7 +101,7 @@
         const auto position = context.state.engines.find(id);
         const EngineStatus *status =
                 position == context.state.engines.end() ? nullptr : &position->second;
-        if (!hasWeights(status, *engine, spec)
+        if (!canContinue(item, *engine) || !hasWeights(status, *engine, spec)
             || (status != nullptr && status->notBefore > context.now))
             continue;
         const auto assigned = directory.engineAssignments->find(id);
--- a/packages/core/tests/batch/batch_simulation.cpp
+++ b/packages/core/tests/batch/batch_simulation.cpp
@@ -41,6 +41,7 @@
     for (std::uint32_t i = 0; i < engineCount; ++i) {
         FleetTarget target;
         target.target = {{"engine-" + std::to_string(i)}, {"engines"}, "address", "zone", false};
+        target.software = {i % 2 == 0 ? "v1" : "v2"};
         target.slots = engineSlots;
         target.weights["model"] = WeightVersion{3};
         targets->emplace(target.target.id, target);
@@ -308,6 +309,11 @@
         return this->deliverAfter(index, 3ms, RunEnded{action.run, RunEnd::Refused});
     this->deliverAfter(index, 5ms, RunHeadReceived{action.run, WeightVersion{3}});
     const ItemId item = action.spec->items[action.itemIndex].id;
+    if (action.lastEventId > 0) {
+        ++this->continuedRuns;
+        if (this->generators[{item, action.lastEventId}].count(action.software) == 0)
+            ++this->joinedRuns;
+    }
     const std::uint64_t count = eventCount(item);
     const bool isBroken = this->randomChance(this->faults.brokenRunRate);
     const std::uint64_t last =
@@ -315,6 +321,7 @@
     Duration delay = 5ms;
     for (std::uint64_t event = action.lastEventId + 1; event <= last; ++event) {
         delay += eventInterval;
+        this->generators[{item, event}].insert(action.software);
         this->deliverAfter(
                 index, delay,
                 RunEventReceived{action.run, event, eventText(item, event), std::nullopt});
--- a/packages/core/tests/batch/batch_simulation.hpp
+++ b/packages/core/tests/batch/batch_simulation.hpp
@@ -73,6 +73,9 @@
     std::map<BatchId, Time> lastRunAt; ///< Start of the last run, by batch.
     std::vector<OwnershipChanged> ownershipChanges;
     std::uint32_t takeoverCount = 0;
+    std::uint32_t continuedRuns = 0; ///< Runs that continued a text.
+    /// Runs that continued a text behind an event that their software has not generated.
+    std::uint32_t joinedRuns = 0;
 
     /// \return a batch of `groups` groups with `groupSize` items each.
     static std::shared_ptr<const BatchSpec> makeSpec(const std::string &id, std::uint32_t groups,
@@ -149,6 +152,8 @@
             cancelledRuns; ///< Cancelled runs, by node.
     /// Results read so far, by batch and position.
     std::map<BatchId, std::map<std::uint64_t, ItemResult>> knownResults;
+    /// The software that has generated each event of an item.
+    std::map<std::pair<ItemId, std::uint64_t>, std::set<SoftwareVersion>> generators;
     std::shared_ptr<const RoutingTable> routing;
     std::shared_ptr<const TargetMap> targets;
 };
--- a/packages/core/tests/batch/unit-batch_duty.cpp
+++ b/packages/core/tests/batch/unit-batch_duty.cpp
@@ -216,8 +216,9 @@
 }
 
 TEST_CASE("property: under store, engine and node faults accepted batches have one result per item "
-          "at stable positions")
+          "at stable positions, and no text is joined from two software versions")
 {
+    std::uint32_t continuedRuns = 0;
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         CAPTURE(seed);
         std::mt19937_64 random(seed);
@@ -249,5 +250,8 @@
             CHECK((!stored || simulation.isComplete(spec->id)));
             CHECK((stored || simulation.startedRuns.count(spec->id) == 0));
         }
+        CHECK(simulation.joinedRuns == 0);
+        continuedRuns += simulation.continuedRuns;
     }
+    CHECK(continuedRuns > 0);
 }
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -17,8 +17,10 @@
     BatchState state = makeBatchState({{"self"}, "a:1", "zone", 1}, {});
     std::vector<BatchAction> actions;
     std::vector<StartRun> startedRuns;
+    Time now = start;
 
-    explicit SingleBatchFixture(bool singleVersion = false)
+    explicit SingleBatchFixture(bool singleVersion = false,
+                                std::vector<SoftwareVersion> software = {{"v1"}, {"v1"}})
     {
         auto routing = std::make_shared<RoutingTable>();
         Route route;
@@ -30,9 +32,10 @@
         route.singleVersion = singleVersion;
         routing->routes.push_back(route);
         auto targets = std::make_shared<TargetMap>();
-        for (const char *id : {"e1", "e2"}) {
+        for (std::size_t i = 0; i < software.size(); ++i) {
             FleetTarget target;
-            target.target = {{id}, {"engines"}, "", "", false};
+            target.target = {{"e" + std::to_string(i + 1)}, {"engines"}, "", "", false};
+            target.software = software[i];
             target.slots = 4;
             target.weights["model"] = WeightVersion{2};
             targets->emplace(target.target.id, target);
@@ -53,7 +56,7 @@
 
     void send(const BatchEvent &event)
     {
-        this->actions = step(this->state, event, start);
+        this->actions = step(this->state, event, this->now);
         for (const BatchAction &action : this->actions) {
             if (const auto *run = std::get_if<StartRun>(&action))
                 this->startedRuns.push_back(*run);
@@ -113,6 +116,56 @@
     CHECK(fixture.startedRuns[2].target.id == other.target.id);
 }
 
+TEST_CASE("a text goes on only at an engine of the software that began it")
+{
+    SingleBatchFixture fixture(false, {{"v1"}, {"v2"}, {"v1"}});
+    for (const StartRun &run : std::vector(fixture.startedRuns)) {
+        fixture.send(RunHeadReceived{run.run, WeightVersion{2}});
+        fixture.sendEvent(run, 1);
+        fixture.send(RunEnded{run.run, RunEnd::Broken});
+        const StartRun &next = fixture.startedRuns.back();
+        CHECK(next.itemIndex == run.itemIndex);
+        CHECK(next.lastEventId == 1);
+        CHECK(next.software == run.software);
+    }
+}
+
+TEST_CASE("a text whose software no engine runs any more is started over")
+{
+    SingleBatchFixture fixture(false, {{"v1"}, {"v2"}});
+    const StartRun run = fixture.startedRuns[0];
+    fixture.send(RunHeadReceived{run.run, WeightVersion{2}});
+    fixture.sendEvent(run, 1);
+    auto directory = std::make_shared<Directory>(*fixture.state.directory);
+    auto targets = std::make_shared<TargetMap>(*directory->targets);
+    targets->erase(run.target.id);
+    directory->targets = targets;
+    fixture.send(BatchDirectoryChanged{directory});
+    fixture.send(RunEnded{run.run, RunEnd::Broken});
+    REQUIRE(fixture.startedRuns.size() == 3);
+    CHECK(fixture.startedRuns[2].lastEventId == 0);
+    CHECK(fixture.startedRuns[2].software != run.software);
+    CHECK(fixture.item(run).text.empty());
+}
+
+TEST_CASE("a text waits for an engine of its software only as long as generating it again takes")
+{
+    SingleBatchFixture fixture(false, {{"v1"}, {"v2"}});
+    const StartRun run = fixture.startedRuns[0];
+    fixture.send(RunHeadReceived{run.run, WeightVersion{2}});
+    for (std::uint64_t eventId = 1; eventId <= 10; ++eventId)
+        fixture.sendEvent(run, eventId);
+    fixture.send(RunEnded{run.run, RunEnd::WrongTarget});
+    CHECK(fixture.startedRuns.size() == 2);
+    const Duration limit = fixture.state.settings.usualEventTime * 10;
+    REQUIRE(dueAt(fixture.state, fixture.now).has_value());
+    CHECK(*dueAt(fixture.state, fixture.now) <= start + limit);
+    fixture.now += limit;
+    fixture.send(BatchTick{});
+    REQUIRE(fixture.startedRuns.size() == 3);
+    CHECK(fixture.startedRuns[2].lastEventId == 0);
+}
+
 TEST_CASE("a repeated event is ignored")
 {
     SingleBatchFixture fixture;
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -22,7 +22,9 @@
 inline constexpr const char *contentsTable = "batch-contents";
 inline constexpr const char *ownerKey = "head"; ///< Copy of the batch head, with the same version.
 inline constexpr const char *specPrefix = "order/";
-inline constexpr const char *partialPrefix = "partial/";
+/// Earlier builds wrote texts without their software under "partial/"; such texts are not resumed,
+/// and earlier builds do not read these.
+inline constexpr const char *partialPrefix = "partial-text/";
 inline constexpr const char *resultPrefix = "result/";
 inline constexpr const char *resultsEndKey = "result0"; ///< The first key after all results.
 
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -47,7 +47,7 @@
             transaction, id, entry::resultPrefix, 0,
             codec::encodeItemResult({{"i1"}, core::ItemOutcome::Completed, text, {}, "s"}));
     entry::addChunks(transaction, id, entry::partialPrefix, 0,
-                     codec::encodePartialText({0, "part", 3, {core::WeightVersion{2}}}));
+                     codec::encodePartialText({0, "part", 3, {core::WeightVersion{2}}, {"v1"}}));
     return transaction;
 }
 
