Take a client's stream up only at the software that began it

Within one answer the node knew the software and did not compare it; across tries no node but the first could know it.

Change: the first event of a resumable stream records its software, in memory and in the store, under the id of the client's attempt. A client that takes a stream up names that attempt in Resumes; the node looks it up and sends the request to that software only. Streams whose software is unknown are refused at once. Origins are written in groups, not before the first event goes out: a lost one costs a refusal, never a joined stream.

--- a/packages/codec/include/geraniumpulley/codec/row_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/row_messages.hpp
@@ -24,6 +24,18 @@
 std::string encodePartialText(const core::PartialText &partial);
 core::Result<core::PartialText> decodePartialText(const std::string &bytes);
 
+/// The software that began a stream, as it is stored under the id of the client's attempt.
+struct StoredOrigin
+{
+    core::SoftwareVersion software;
+    core::Duration expiresAt{}; ///< On the store's clock; 0 if that was unknown.
+
+    bool operator==(const StoredOrigin &) const = default;
+};
+
+std::string encodeStreamOrigin(const StoredOrigin &origin);
+core::Result<StoredOrigin> decodeStreamOrigin(const std::string &bytes);
+
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat);
 core::Result<core::NodeHeartbeat> decodeHeartbeat(const std::string &bytes);
 
--- a/packages/codec/src/row_messages.cpp
+++ b/packages/codec/src/row_messages.cpp
@@ -20,6 +20,7 @@
         std::tuple<std::string, bool, std::string, std::vector<std::uint64_t>, std::string>;
 using PartialTextWire = std::tuple<std::uint32_t, std::string, std::uint64_t,
                                    std::vector<std::uint64_t>, std::string>;
+using StreamOriginWire = std::tuple<std::string, std::int64_t>;
 using HeartbeatWire = std::tuple<std::string, std::string, std::string, std::uint64_t,
                                  std::uint64_t, bool, std::uint32_t>;
 using WeightOrderLeaseWire = std::tuple<std::string, std::uint64_t>;
@@ -113,6 +114,20 @@
             itemIndex, std::move(text), lastEventId, fromWire(versions), {std::move(software)}};
 }
 
+std::string encodeStreamOrigin(const StoredOrigin &origin)
+{
+    return pack(StreamOriginWire{origin.software.value, origin.expiresAt.count()});
+}
+
+core::Result<StoredOrigin> decodeStreamOrigin(const std::string &bytes)
+{
+    auto wire = unpack<StreamOriginWire>(bytes);
+    if (!wire)
+        return wire.error();
+    auto &[software, expiresAt] = wire.value();
+    return StoredOrigin{{std::move(software)}, core::Duration(expiresAt)};
+}
+
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat)
 {
     return pack(HeartbeatWire{heartbeat.node.id.value, heartbeat.node.address,
--- a/packages/codec/tests/unit-row_messages.cpp
+++ b/packages/codec/tests/unit-row_messages.cpp
@@ -33,6 +33,8 @@
     CHECK(codec::decodeItemResult(codec::encodeItemResult(result)).value() == result);
     const core::PartialText partial{3, "text", 4, {core::WeightVersion{6}}, {"v2"}};
     CHECK(codec::decodePartialText(codec::encodePartialText(partial)).value() == partial);
+    const codec::StoredOrigin origin{{"v2"}, core::Duration(9)};
+    CHECK(codec::decodeStreamOrigin(codec::encodeStreamOrigin(origin)).value() == origin);
 }
 
 TEST_CASE("heartbeats, leases and relayed calls decode to the values that were encoded")
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/core/batch/batch.hpp>
 #include <geraniumpulley/core/calls/load_balancing.hpp>
 #include <geraniumpulley/core/calls/target_health.hpp>
+#include <geraniumpulley/core/entry/stream_origins.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
@@ -34,6 +35,8 @@
     std::string body;
     std::optional<Duration> timeout; ///< How long the client waits, if it states a limit.
     std::uint64_t lastEventId = 0; ///< The last stream event that the client received.
+    /// The attempt of the client that brought the first event of a stream that it takes up.
+    std::string resumedRequestId;
 };
 
 /// An answer from a target or from this node.
@@ -111,6 +114,12 @@
     ItemId item;
     ScoringRequest request;
 };
+/// A `FindStreamOrigin` has completed.
+struct StreamOriginFound
+{
+    ReplyToken reply{};
+    std::optional<SoftwareVersion> software; ///< Null if it is unknown or the store did not answer.
+};
 struct EntryDirectoryChanged
 {
     DirectoryPointer directory;
@@ -122,7 +131,8 @@
 using EntryEvent =
         std::variant<EntryCallReceived, CallerDisconnected, AttemptAnswered, StreamHeadReceived,
                      StreamEventReceived, StreamEnded, EntryAttemptFailed, ScoreRequested,
-                     PermitsReceived, EntryDirectoryChanged, EntryTick>;
+                     PermitsReceived, StreamOriginFound, StreamOriginsStored, EntryDirectoryChanged,
+                     EntryTick>;
 
 // Actions
 
@@ -138,6 +148,16 @@
             false; ///< A keep-alive connection may be used, since the request may run twice.
     std::uint64_t lastEventId = 0; ///< The last stream event that the caller received.
 };
+/// Looks up in the store which software began a stream that a client takes up.
+struct FindStreamOrigin
+{
+    ReplyToken reply{};
+    std::string requestId; ///< The client's attempt that brought the first event.
+};
+/// Looks for expired origins in the store that other nodes have left behind. One node does it.
+struct SweepStreamOrigins
+{
+};
 /// Cancels an attempt in flight.
 struct CancelAttempt
 {
@@ -151,6 +171,7 @@
     NoTarget, ///< The service has no target that accepts requests.
     TargetsFull, ///< Every target that was tried refused the request.
     RateLimited, ///< The rate limits of the targets allow the request too late.
+    SoftwareUnknown, ///< The software that began the stream which a client takes up is unknown.
     Failed, ///< Attempts failed, and the request may have run.
     TimedOut,
 };
@@ -206,7 +227,8 @@
 
 using EntryAction =
         std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead, SendStreamEvent,
-                     EndStream, ScoreCompleted, RateLimitChanged, RequestPermits>;
+                     EndStream, ScoreCompleted, RateLimitChanged, RequestPermits, FindStreamOrigin,
+                     StoreStreamOrigins, SweepStreamOrigins>;
 
 struct EntrySettings
 {
@@ -227,6 +249,7 @@
     Time sentAt{};
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
+    SoftwareVersion software; ///< The target's software.
 };
 
 /// A request that has no final answer yet.
@@ -237,6 +260,7 @@
     std::optional<ScoreRequested> scoreRequest;
     RouteKind kind = RouteKind::AtMostOnce;
     bool repeatable = false;
+    bool resumable = false; ///< A stream that may go on at another target.
     std::uint32_t maxAttempts = 1;
     ServiceName service;
     Time deadline{};
@@ -255,6 +279,7 @@
     bool awaitsPermit = false; ///< The next attempt waits for a permit of a target.
     bool headSent = false; ///< The head of a stream has been sent to the caller.
     std::uint64_t lastEventId = 0; ///< The last stream event that was sent to the caller.
+    SoftwareVersion software; ///< The software that generated the events of the stream.
 };
 
 /// The state of the entry duty.
@@ -269,6 +294,8 @@
     std::map<TargetId, std::uint32_t>
             reportedWaiting; ///< Requests queued at each target, as it last reported.
     Permits permits;
+    StreamOrigins streamOrigins;
+    Time nextSweepAt{}; ///< Of the store's expired origins.
     std::map<TargetId, TargetHealth> health;
     RandomSource random;
     OperationId nextOperation{1};
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -31,6 +31,15 @@
     return position == counts.end() ? 0 : position->second;
 }
 
+bool hasResumableRoute(const Directory &directory)
+{
+    if (!directory.routing)
+        return false;
+    const auto &routes = directory.routing->routes;
+    return std::any_of(routes.begin(), routes.end(),
+                       [](const Route &route) { return route.resumable; });
+}
+
 using Requests = std::map<ReplyToken, EntryRequest>;
 
 struct TargetChoice
@@ -129,10 +138,51 @@
         EntryRequest &request = this->state.requests.at(attempt->second.reply);
         if (event.eventId != 0 && event.eventId <= request.lastEventId)
             return;
+        if (request.lastEventId == 0)
+            this->beginStream(request, attempt->second.software);
         request.lastEventId = std::max(request.lastEventId, event.eventId);
         this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
     }
 
+    void maintainStreamOrigins()
+    {
+        const Directory *directory = this->state.directory.get();
+        if (directory == nullptr)
+            return;
+        auto write = dueOriginWrite(this->state.streamOrigins, directory->presence.nodes.size(),
+                                    this->now);
+        if (write)
+            this->actions.emplace_back(std::move(*write));
+        if (this->now < this->state.nextSweepAt || !hasResumableRoute(*directory))
+            return;
+        this->state.nextSweepAt = this->now + this->state.streamOrigins.settings.sweepPeriod;
+        this->actions.emplace_back(SweepStreamOrigins{});
+    }
+
+    void beginStream(EntryRequest &request, const SoftwareVersion &software)
+    {
+        request.software = software;
+        if (request.resumable)
+            recordStreamOrigin(this->state.streamOrigins, {request.call->requestId, software},
+                               this->now);
+    }
+
+    void operator()(const StreamOriginFound &event)
+    {
+        const auto position = this->state.requests.find(event.reply);
+        if (position == this->state.requests.end())
+            return;
+        if (!event.software)
+            return this->finishUnserved(position, EntryVerdict::SoftwareUnknown);
+        position->second.software = *event.software;
+        this->sendNextAttempt(position);
+    }
+
+    void operator()(const StreamOriginsStored &event)
+    {
+        recordOriginWrite(this->state.streamOrigins, event.succeeded);
+    }
+
     void operator()(const StreamEnded &event)
     {
         const auto attempt = this->removeAttempt(event.operation);
@@ -221,8 +271,9 @@
         if (service == nullptr)
             return this->refuse(position, EntryVerdict::NoRoute, status::notFound);
         entry.kind = route->kind;
-        entry.repeatable = entry.repeatable || route->kind == RouteKind::Repeatable
-                           || (route->kind == RouteKind::Stream && route->resumable);
+        entry.resumable = route->kind == RouteKind::Stream && route->resumable;
+        entry.repeatable =
+                entry.repeatable || route->kind == RouteKind::Repeatable || entry.resumable;
         entry.maxAttempts = std::max(route->maxAttempts, 1U);
         entry.service = *service;
         entry.lastEventId = entry.call->lastEventId;
@@ -231,9 +282,42 @@
         entry.objectiveAt = entry.deadline;
         if (!entry.scoreRequest && route->latencyObjective > Duration{})
             entry.objectiveAt = std::min(entry.deadline, this->now + route->latencyObjective);
+        if (entry.resumable && entry.lastEventId > 0)
+            return this->takeUpStream(position);
+        this->sendNextAttempt(position);
+    }
+
+    // A stream goes on only at the software that began it.
+    void takeUpStream(Requests::iterator position)
+    {
+        EntryRequest &request = position->second;
+        const std::string &origin = request.call->resumedRequestId;
+        const auto software = origin.empty() ? this->onlySoftwareOf(request.service)
+                                             : findStreamOrigin(this->state.streamOrigins, origin);
+        if (!software && !origin.empty()) {
+            this->actions.emplace_back(FindStreamOrigin{position->first, origin});
+            return;
+        }
+        if (!software)
+            return this->finishUnserved(position, EntryVerdict::SoftwareUnknown);
+        request.software = *software;
         this->sendNextAttempt(position);
     }
 
+    // Returns the software of a service whose targets all run the same, for clients that do not
+    // name the attempt that began their stream.
+    std::optional<SoftwareVersion> onlySoftwareOf(const ServiceName &service) const
+    {
+        std::set<SoftwareVersion> software;
+        for (const auto &[id, target] : *this->state.directory->targets) {
+            if (target.target.service == service)
+                software.insert(target.software);
+        }
+        if (software.size() != 1)
+            return std::nullopt;
+        return *software.begin();
+    }
+
     void noteRateLimit(const TargetId &target, const std::optional<RequestRate> &limit)
     {
         if (!recordRateLimit(this->state.permits, target, limit))
@@ -257,6 +341,13 @@
             this->sendNextAttempt(this->state.requests.find(reply));
     }
 
+    SoftwareVersion softwareOf(const TargetId &target) const
+    {
+        const auto position = this->state.directory->targets->find(target);
+        return position == this->state.directory->targets->end() ? SoftwareVersion{}
+                                                                 : position->second.software;
+    }
+
     bool mayAttempt(const EntryRequest &request) const
     {
         return request.attemptCount < request.maxAttempts && request.deadline > this->now;
@@ -299,8 +390,8 @@
         request.lastTarget = target.id;
         ++this->state.attemptsPerTarget[target.id];
         recordSent(this->state.health[target.id], this->now);
-        this->state.attempts.emplace(operation,
-                                     EntryAttempt{target.id, this->now, position->first, false});
+        this->state.attempts.emplace(operation, EntryAttempt{target.id, this->now, position->first,
+                                                             false, this->softwareOf(target.id)});
         this->actions.emplace_back(SendAttempt{operation, target, request.call, request.deadline,
                                                request.kind == RouteKind::Stream,
                                                request.repeatable, request.lastEventId});
@@ -333,6 +424,9 @@
         for (const FleetTarget *fleetTarget :
              servingTargets(*this->state.directory->targets, request.service)) {
             const TargetId &id = fleetTarget->target.id;
+            if (request.resumable && request.lastEventId > 0
+                && fleetTarget->software != request.software)
+                continue;
             const Candidate candidate{&fleetTarget->target,
                                       countOf(this->state.attemptsPerTarget, id)
                                               + countOf(this->state.reportedWaiting, id),
@@ -542,12 +636,15 @@
     std::visit(handler, event);
     for (const RequestPermits &request : duePermitRequests(state.permits, now))
         handler.actions.emplace_back(request);
+    handler.maintainStreamOrigins();
     return std::move(handler.actions);
 }
 
 std::optional<Time> dueAt(const EntryState &state)
 {
     std::optional<Time> due = dueAt(state.permits);
+    if (const auto originsDueAt = dueAt(state.streamOrigins))
+        due = std::min(due.value_or(*originsDueAt), *originsDueAt);
     for (const auto &[reply, request] : state.requests) {
         const Time requestDue =
                 std::min(request.deadline, request.nextAttemptAt.value_or(request.deadline));
--- a/packages/core/tests/entry/unit-entry.cpp
+++ b/packages/core/tests/entry/unit-entry.cpp
@@ -14,7 +14,8 @@
 
 const Time start{std::chrono::seconds(100)};
 
-DirectoryPointer makeDirectory(std::size_t targetCount)
+DirectoryPointer makeDirectory(std::size_t targetCount,
+                               const std::vector<SoftwareVersion> &software = {})
 {
     auto routing = std::make_shared<RoutingTable>();
     const auto add = [&](const std::string &prefix, RouteKind kind, std::uint32_t attempts) {
@@ -36,6 +37,8 @@
     for (std::size_t i = 0; i < targetCount; ++i) {
         FleetTarget target;
         target.target = {{"t" + std::to_string(i)}, {"service"}, "", "", false};
+        if (i < software.size())
+            target.software = software[i];
         targets->emplace(target.target.id, target);
     }
     auto directory = std::make_shared<Directory>();
@@ -425,3 +428,94 @@
     harness.answer(operation, 200);
     CHECK(harness.find<SendAttempt>() != nullptr);
 }
+
+namespace {
+
+const std::vector<SoftwareVersion> mixedSoftware{{"v1"}, {"v2"}, {"v1"}, {"v2"}};
+
+// Starts a resumable stream and sends its first event to the client.
+SendAttempt beginStream(EntryHarness &harness, std::uint64_t reply)
+{
+    harness.call(reply, "/resume/x");
+    const SendAttempt sent = *harness.find<SendAttempt>();
+    harness.send(StreamHeadReceived{sent.operation, {200}});
+    harness.send(StreamEventReceived{sent.operation, 1, "one"});
+    return sent;
+}
+
+SoftwareVersion softwareOf(const EntryHarness &harness, const SendAttempt &sent)
+{
+    return harness.state.directory->targets->at(sent.target.id).software;
+}
+
+void takeUp(EntryHarness &harness, std::uint64_t reply, const std::string &origin)
+{
+    auto call = std::make_shared<EntryCall>();
+    call->host = "host";
+    call->target = "/resume/x";
+    call->requestId = "id" + std::to_string(reply);
+    call->lastEventId = 1;
+    call->resumedRequestId = origin;
+    harness.send(EntryCallReceived{ReplyToken{reply}, call});
+}
+
+} // namespace
+
+TEST_CASE("a broken stream goes on at the software that began it, or is ended as incomplete")
+{
+    EntryHarness harness(4);
+    harness.send(EntryDirectoryChanged{makeDirectory(4, mixedSoftware)});
+    const SendAttempt first = beginStream(harness, 1);
+    harness.send(StreamEnded{first.operation, false});
+    const SendAttempt second = *harness.find<SendAttempt>();
+    CHECK(second.target.id != first.target.id);
+    CHECK(softwareOf(harness, second) == softwareOf(harness, first));
+    const SoftwareVersion other{softwareOf(harness, first).value == "v1" ? "v2" : "v1"};
+    harness.send(EntryDirectoryChanged{makeDirectory(4, {other, other, other, other})});
+    harness.send(StreamEnded{second.operation, false});
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    REQUIRE(harness.find<EndStream>() != nullptr);
+    CHECK_FALSE(harness.find<EndStream>()->complete);
+}
+
+TEST_CASE("a stream that a client takes up goes on at the software that began it")
+{
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        CAPTURE(i);
+        EntryHarness harness(4);
+        harness.send(EntryDirectoryChanged{makeDirectory(4, mixedSoftware)});
+        harness.state.random.state = i;
+        const SendAttempt first = beginStream(harness, 1);
+        REQUIRE(harness.find<StoreStreamOrigins>() != nullptr);
+        const StreamOrigin origin{"id1", softwareOf(harness, first)};
+        CHECK(harness.find<StoreStreamOrigins>()->origins == std::vector{origin});
+
+        EntryHarness other(4);
+        other.send(EntryDirectoryChanged{makeDirectory(4, mixedSoftware)});
+        takeUp(other, 2, "id1");
+        CHECK(other.find<SendAttempt>() == nullptr);
+        REQUIRE(other.find<FindStreamOrigin>() != nullptr);
+        CHECK(other.find<FindStreamOrigin>()->requestId == "id1");
+        other.send(StreamOriginFound{ReplyToken{2}, origin.software});
+        REQUIRE(other.find<SendAttempt>() != nullptr);
+        CHECK(other.find<SendAttempt>()->lastEventId == 1);
+        CHECK(softwareOf(other, *other.find<SendAttempt>()) == origin.software);
+
+        takeUp(harness, 3, "id1");
+        REQUIRE(harness.find<SendAttempt>() != nullptr);
+        CHECK(softwareOf(harness, *harness.find<SendAttempt>()) == origin.software);
+    }
+}
+
+TEST_CASE("a stream whose software is unknown is refused at once, not joined")
+{
+    EntryHarness harness(4);
+    harness.send(EntryDirectoryChanged{makeDirectory(4, mixedSoftware)});
+    takeUp(harness, 1, "id9");
+    harness.send(StreamOriginFound{ReplyToken{1}, std::nullopt});
+    REQUIRE(harness.find<AnswerEntryCall>() != nullptr);
+    CHECK(harness.find<AnswerEntryCall>()->answer.status == 503);
+    CHECK(harness.find<AnswerEntryCall>()->verdict == EntryVerdict::SoftwareUnknown);
+    takeUp(harness, 2, "");
+    CHECK(harness.find<AnswerEntryCall>()->answer.status == 503);
+}
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -1,4 +1,5 @@
 #include "duties.hpp"
+#include "origin_store.hpp"
 #include "permit_link.hpp"
 
 #include <geraniumpulley/platform/client_messages.hpp>
@@ -35,6 +36,8 @@
         return "targets_full";
     case core::EntryVerdict::RateLimited:
         return "rate_limited";
+    case core::EntryVerdict::SoftwareUnknown:
+        return "software_unknown";
     case core::EntryVerdict::Failed:
         return "failed";
     case core::EntryVerdict::TimedOut:
@@ -48,6 +51,8 @@
     Parts &parts;
     core::EntryState state;
     TickTimer wakeup;
+    /// Where the sweep of stream origins has stopped. Changed by one read at a time.
+    std::shared_ptr<std::string> sweptUpTo = std::make_shared<std::string>();
 
     std::optional<core::Time> due() const { return core::dueAt(this->state); }
 
@@ -157,6 +162,10 @@
 
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
+    void perform(core::FindStreamOrigin &&action) { findStreamOrigin(this->parts, action); }
+    void perform(core::StoreStreamOrigins &&action) { storeStreamOrigins(this->parts, action); }
+    void perform(core::SweepStreamOrigins &&) { sweepStreamOrigins(this->parts, this->sweptUpTo); }
+
     void perform(core::RequestPermits &&request)
     {
         requestPermits(this->parts, request, "calls", [this](core::PermitsReceived &&received) {
@@ -181,10 +190,13 @@
 
 void startCallDuty(Parts &parts, std::uint64_t seed)
 {
-    auto duty = std::make_shared<CallDuty>(
-            CallDuty{parts, core::makeEntryState({}, seed), TickTimer(*parts.timer, [&parts] {
-                         static_cast<void>(parts.calls.inbox().tryPush(core::EntryTick{}));
-                     })});
+    auto duty = std::make_shared<CallDuty>(CallDuty{
+            parts, core::makeEntryState({}, seed),
+            TickTimer(*parts.timer,
+                      [&parts] {
+                          static_cast<void>(parts.calls.inbox().tryPush(core::EntryTick{}));
+                      }),
+            std::make_shared<std::string>()});
     parts.calls.start("calls", [duty](core::EntryEvent &&event) {
         decideAndArm<core::EntryTick>(*duty, event);
     });
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -28,6 +28,9 @@
 inline constexpr const char *resultPrefix = "result/";
 inline constexpr const char *resultsEndKey = "result0"; ///< The first key after all results.
 
+/// Table of the software that began each resumable stream, by the id of the client's attempt.
+inline constexpr const char *originsTable = "stream-origins";
+
 /// Limit on the value of a row, in bytes; the limit of the store is 64 KiB.
 inline constexpr std::size_t maxRowBytes = 60 * 1024;
 
--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -126,9 +126,9 @@
 
 HttpReply PlatformFleet::call(const std::string &node, const std::string &method,
                               const std::string &target, const std::string &requestId,
-                              const std::string &body)
+                              const std::string &body, std::map<std::string, std::string> headers)
 {
-    std::map<std::string, std::string> headers{{"Host", "site.example"}};
+    headers.emplace("Host", "site.example");
     if (!requestId.empty())
         headers.emplace("X-Attempt-Id", requestId);
     return fetch(this->uriOf(node + "/callers") + target, method, body, headers);
@@ -156,6 +156,8 @@
  "target_latency_ms":150,"priority":2,"service":"orders","max_attempts":3}},
 {{"name":"book","host":"site.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":2000,
  "target_latency_ms":150,"priority":2,"service":"orders","max_attempts":3}},
+{{"name":"chat","host":"site.example","path_prefix":"/chat/","kind":"stream","resumable":true,
+ "timeout_ms":20000,"target_latency_ms":400,"priority":1,"service":"engines","max_attempts":3}},
 {{"name":"samples","host":"site.example","path_prefix":"/samples/","kind":"rollout",
  "timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"engines","max_attempts":3,
  "due_ms":7500,"max_wait_s":40}}],
--- a/tests/live/platform_fleet.hpp
+++ b/tests/live/platform_fleet.hpp
@@ -35,7 +35,8 @@
     bool waitFor(const std::function<bool()> &condition);
 
     HttpReply call(const std::string &node, const std::string &method, const std::string &target,
-                   const std::string &requestId = {}, const std::string &body = {});
+                   const std::string &requestId = {}, const std::string &body = {},
+                   std::map<std::string, std::string> headers = {});
     /// \return the ids of the requests that a worker has executed, as a JSON array.
     std::string executedRequestIds(const std::string &worker);
 
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <thread>
 
 namespace {
 
@@ -54,13 +55,43 @@
     });
 }
 
+// Returns the rows of a range in the store, as JSON.
+std::string readRows(live::PlatformFleet &fleet, const std::string &range)
+{
+    return live::fetch("http://" + fleet.addresses.at("store") + "/-/rows-get?" + range, "GET")
+            .body;
+}
+
 bool hasPartialTexts(live::PlatformFleet &fleet, const std::string &batch)
 {
-    const HttpReply reply = live::fetch("http://" + fleet.addresses.at("store")
-                                                + "/-/rows-get?table=batch-contents&part=" + batch
-                                                + "&from=partial&to=partial~",
-                                        "GET");
-    return reply.body.find("\"partial") != std::string::npos;
+    const std::string rows =
+            readRows(fleet, "table=batch-contents&part=" + batch + "&from=partial&to=partial~");
+    return rows.find("\"partial") != std::string::npos;
+}
+
+// Starts two more engines. Each engine names its software, "v1" or "v2", in long texts.
+void startMixedSoftware(live::PlatformFleet &fleet)
+{
+    fleet.startWorker("engine-3", "engines", "m", "v2");
+    fleet.startWorker("engine-4", "engines", "m", "v2");
+    for (const char *engine : {"engine-1", "engine-2"})
+        fleet.configureWorker(engine, R"({"software": "v1", "events": 300})");
+    for (const char *engine : {"engine-3", "engine-4"})
+        fleet.configureWorker(engine, R"({"software": "v2", "events": 300})");
+}
+
+void killAndRestartAll(live::PlatformFleet &fleet)
+{
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.process(node).signal(SIGKILL);
+    for (const char *node : {"node-a", "node-b", "node-c"})
+        fleet.startNode(node);
+    REQUIRE(fleet.waitUntilReady());
+}
+
+bool hasExecuted(live::PlatformFleet &fleet, const std::string &worker, const std::string &request)
+{
+    return fleet.executedRequestIds(worker).find('"' + request + '"') != std::string::npos;
 }
 
 // Returns whether a node has continued a text behind an event.
@@ -206,21 +237,12 @@
 {
     live::PlatformFleet fleet;
     startDeployment(fleet);
-    fleet.startWorker("engine-3", "engines", "m", "v2");
-    fleet.startWorker("engine-4", "engines", "m", "v2");
-    for (const char *engine : {"engine-1", "engine-2"})
-        fleet.configureWorker(engine, R"({"software": "v1", "events": 300})");
-    for (const char *engine : {"engine-3", "engine-4"})
-        fleet.configureWorker(engine, R"({"software": "v2", "events": 300})");
+    startMixedSoftware(fleet);
     for (const char *batch : {"b1", "b2"})
         REQUIRE(submit(fleet, "node-a", batch));
     REQUIRE(fleet.waitFor([&] { return hasPartialTexts(fleet, "b1"); }));
     REQUIRE(fleet.waitFor([&] { return hasPartialTexts(fleet, "b2"); }));
-    for (const char *node : {"node-a", "node-b", "node-c"})
-        fleet.process(node).signal(SIGKILL);
-    for (const char *node : {"node-a", "node-b", "node-c"})
-        fleet.startNode(node);
-    REQUIRE(fleet.waitUntilReady());
+    killAndRestartAll(fleet);
     for (const char *batch : {"b1", "b2"}) {
         REQUIRE(waitForBatch(fleet, "node-c", batch));
         for (const std::string &result : readResults(fleet, "node-c", batch)) {
@@ -232,6 +254,54 @@
     CHECK(wasResumed(fleet));
 }
 
+TEST_CASE("on the platform a client's stream goes on at its software though all nodes were killed")
+{
+    constexpr int streamCount = 6;
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    startMixedSoftware(fleet);
+    std::vector<std::thread> clients;
+    for (int i = 0; i < streamCount; ++i) {
+        clients.emplace_back([&fleet, i] {
+            fleet.call("node-a", "POST", "/chat/1", fmt::format("begun-{}", i), "x");
+        });
+    }
+    const bool areStored = fleet.waitFor([&] {
+        const std::string rows = readRows(fleet, "table=stream-origins&part=&from=begun&to=begun~");
+        for (int i = 0; i < streamCount; ++i) {
+            if (rows.find(fmt::format("\"begun-{}\"", i)) == std::string::npos)
+                return false;
+        }
+        return true;
+    });
+    killAndRestartAll(fleet);
+    for (std::thread &client : clients)
+        client.join();
+    REQUIRE(areStored);
+    std::vector<HttpReply> replies(streamCount);
+    clients.clear();
+    for (int i = 0; i < streamCount; ++i) {
+        clients.emplace_back([&fleet, &replies, i] {
+            replies[static_cast<std::size_t>(i)] =
+                    fleet.call("node-b", "POST", "/chat/1", fmt::format("taken-up-{}", i), "x",
+                               {{"Last-Event-Id", "5"}, {"Resumes", fmt::format("begun-{}", i)}});
+        });
+    }
+    for (std::thread &client : clients)
+        client.join();
+    for (int i = 0; i < streamCount; ++i) {
+        const std::string begun = fmt::format("begun-{}", i);
+        const bool isFirst =
+                hasExecuted(fleet, "engine-1", begun) || hasExecuted(fleet, "engine-2", begun);
+        const HttpReply &reply = replies[static_cast<std::size_t>(i)];
+        CAPTURE(i);
+        CHECK(reply.status == 200);
+        CHECK(reply.body.find("id: 6\n") == 0);
+        CHECK((reply.body.find(":v1") != std::string::npos) == isFirst);
+        CHECK((reply.body.find(":v2") != std::string::npos) != isFirst);
+    }
+}
+
 // Several nodes that each keep to the limit exceed it together.
 TEST_CASE("on the platform nodes together send a target no more than one and a half times the rate "
           "limit that it states")
