Bound the event and the text of a stream that does not end

What callers saw: nothing yet; found while looking at responses without end. But a stream was buffered without a limit until an event ended, and a text grew until the run's deadline of 40 s, beyond what one transaction of the store takes.

Change: a stream is cancelled when one event exceeds 1 MiB, an item is started over elsewhere when its text exceeds 600 KiB. Tests: unit-target_messages, unit-batch_runs.

--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -53,6 +53,8 @@
     Duration slowRunCheckPeriod = std::chrono::milliseconds(250);
     /// Time that a run stays on its engine before it can be moved.
     Duration minRunTime = std::chrono::milliseconds(500);
+    /// Limit on a text, which one transaction and one answer can hold.
+    std::size_t maxTextBytes = 600 * 1024;
     /// Time in which an engine usually generates an event. A text that has waited for an engine of
     /// its software as long as it would take to generate it again is started over.
     Duration usualEventTime = std::chrono::milliseconds(30);
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -325,6 +325,12 @@
     if (!found.record->hasVersion || event.eventId != item.lastEventId + 1)
         return cancelAndRequeue(context, event.run, RunCause::AfterLoss,
                                 context.state.settings.failureBackoff);
+    // An engine that does not end a text must not fill the memory.
+    if (item.text.size() + event.text.size() > context.state.settings.maxTextBytes) {
+        discardText(item);
+        return cancelAndRequeue(context, event.run, RunCause::AfterFailure,
+                                context.state.settings.failureBackoff);
+    }
     recordEventInterval(context, *found.record);
     if (item.lastEventId == 0)
         item.software = found.record->software;
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -166,6 +166,20 @@
     CHECK(fixture.startedRuns[2].lastEventId == 0);
 }
 
+TEST_CASE("a text that does not end is given up at the limit and started over")
+{
+    SingleBatchFixture fixture;
+    fixture.state.settings.maxTextBytes = 100;
+    const StartRun run = fixture.startedRuns[0];
+    fixture.send(RunHeadReceived{run.run, WeightVersion{2}});
+    for (std::uint64_t eventId = 1; eventId <= 100 && fixture.startedRuns.size() == 2; ++eventId)
+        fixture.sendEvent(run, eventId);
+    CHECK(fixture.count<CancelRun>() == 1);
+    REQUIRE(fixture.startedRuns.size() == 3);
+    CHECK(fixture.startedRuns[2].lastEventId == 0);
+    CHECK(fixture.startedRuns[2].target.id != run.target.id);
+}
+
 TEST_CASE("a repeated event is ignored")
 {
     SingleBatchFixture fixture;
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -110,6 +110,8 @@
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
                 this->push(core::RunEventReceived{id, event.eventId, std::move(event.text),
                                                   event.version});
+            if (buffer->isOverlong)
+                cancelOverlong(this->parts, *this->parts.engineClient, id);
         };
         request.done = [this, id = run.run, item, target = run.target.id.value,
                         sentAt = runtime::now()](net::HttpResult &&result) {
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -113,6 +113,8 @@
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
                 this->push(core::StreamEventReceived{operation, event.eventId,
                                                      std::move(event.rawBytes)});
+            if (buffer->isOverlong)
+                cancelOverlong(this->parts, *this->parts.targetClient, operation);
         };
         request.done = [this, attempt, headReceived,
                         sentAt = runtime::now()](net::HttpResult &&result) {
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -64,6 +64,14 @@
         parts.logger.write("rate_limit_ended", runtime::field("target", change.target.value));
 }
 
+/// Cancels a request whose stream holds an event beyond the limit, so that it ends as broken.
+inline void cancelOverlong(Parts &parts, net::HttpClient &client, core::OperationId operation)
+{
+    parts.metrics.count("overlong_events");
+    if (!client.cancel(cancelKeyOf(operation)))
+        parts.metrics.count("cancels_dropped");
+}
+
 /// Passes one event to the core and executes the resulting actions.
 template<typename Duty, typename Event>
 void decide(Duty &duty, const Event &event)
