Choose targets of clients' requests in a source of its own

One fault is mended on the way: with only ejected targets and targets without a permit left, a request went to an ejected one, since all others had been passed over; it now waits for the permit (unit-entry). Expired stream origins are also looked for while no request comes.

--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -311,7 +311,7 @@
 /// Complexity: linear in targets.
 std::vector<EntryAction> step(EntryState &state, const EntryEvent &event, Time now);
 
-/// \return when the next tick is due; nothing while there are no requests.
+/// \return when the next tick is due, or nothing if nothing is pending.
 std::optional<Time> dueAt(const EntryState &state);
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/entry/entry.hpp>
 
+#include "target_choice.hpp"
+
 #include <geraniumpulley/core/http_status.hpp>
 
 #include <algorithm>
@@ -25,12 +27,6 @@
            || status == status::requestTimeout || status == status::misdirected;
 }
 
-std::uint32_t countOf(const std::map<TargetId, std::uint32_t> &counts, const TargetId &id)
-{
-    const auto position = counts.find(id);
-    return position == counts.end() ? 0 : position->second;
-}
-
 bool hasResumableRoute(const Directory &directory)
 {
     if (!directory.routing)
@@ -42,16 +38,6 @@
 
 using Requests = std::map<ReplyToken, EntryRequest>;
 
-struct TargetChoice
-{
-    const Target *target = nullptr; ///< Null if the request cannot be sent now.
-    /// Of the targets that were passed over for lack of a permit, the one whose next permit is
-    /// expected first; null if there was none.
-    const Target *rateLimited = nullptr;
-    /// A target that has refused the request before and may accept it now; null if there is none.
-    const Target *alreadyTried = nullptr;
-};
-
 struct Handler
 {
     EntryState &state;
@@ -144,29 +130,6 @@
         this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
     }
 
-    void maintainStreamOrigins()
-    {
-        const Directory *directory = this->state.directory.get();
-        if (directory == nullptr)
-            return;
-        auto write = dueOriginWrite(this->state.streamOrigins, directory->presence.nodes.size(),
-                                    this->now);
-        if (write)
-            this->actions.emplace_back(std::move(*write));
-        if (this->now < this->state.nextSweepAt || !hasResumableRoute(*directory))
-            return;
-        this->state.nextSweepAt = this->now + this->state.streamOrigins.settings.sweepPeriod;
-        this->actions.emplace_back(SweepStreamOrigins{});
-    }
-
-    void beginStream(EntryRequest &request, const SoftwareVersion &software)
-    {
-        request.software = software;
-        if (request.resumable)
-            recordStreamOrigin(this->state.streamOrigins, {request.call->requestId, software},
-                               this->now);
-    }
-
     void operator()(const StreamOriginFound &event)
     {
         const auto position = this->state.requests.find(event.reply);
@@ -287,13 +250,23 @@
         this->sendNextAttempt(position);
     }
 
-    // A stream goes on only at the software that began it.
+    void beginStream(EntryRequest &request, const SoftwareVersion &software)
+    {
+        request.software = software;
+        if (request.resumable)
+            recordStreamOrigin(this->state.streamOrigins, {request.call->requestId, software},
+                               this->now);
+    }
+
+    // A stream goes on only at the software that began it. A client that does not name the attempt
+    // that began it is served if all targets run the same software.
     void takeUpStream(Requests::iterator position)
     {
         EntryRequest &request = position->second;
         const std::string &origin = request.call->resumedRequestId;
-        const auto software = origin.empty() ? this->onlySoftwareOf(request.service)
-                                             : findStreamOrigin(this->state.streamOrigins, origin);
+        const auto software = origin.empty()
+                                      ? onlySoftwareOf(*this->state.directory, request.service)
+                                      : findStreamOrigin(this->state.streamOrigins, origin);
         if (!software && !origin.empty()) {
             this->actions.emplace_back(FindStreamOrigin{position->first, origin});
             return;
@@ -304,20 +277,6 @@
         this->sendNextAttempt(position);
     }
 
-    // Returns the software of a service whose targets all run the same, for clients that do not
-    // name the attempt that began their stream.
-    std::optional<SoftwareVersion> onlySoftwareOf(const ServiceName &service) const
-    {
-        std::set<SoftwareVersion> software;
-        for (const auto &[id, target] : *this->state.directory->targets) {
-            if (target.target.service == service)
-                software.insert(target.software);
-        }
-        if (software.size() != 1)
-            return std::nullopt;
-        return *software.begin();
-    }
-
     void noteRateLimit(const TargetId &target, const std::optional<RequestRate> &limit)
     {
         if (!recordRateLimit(this->state.permits, target, limit))
@@ -341,13 +300,6 @@
             this->sendNextAttempt(this->state.requests.find(reply));
     }
 
-    SoftwareVersion softwareOf(const TargetId &target) const
-    {
-        const auto position = this->state.directory->targets->find(target);
-        return position == this->state.directory->targets->end() ? SoftwareVersion{}
-                                                                 : position->second.software;
-    }
-
     bool mayAttempt(const EntryRequest &request) const
     {
         return request.attemptCount < request.maxAttempts && request.deadline > this->now;
@@ -361,7 +313,7 @@
         request.awaitsPermit = false;
         if (!this->mayAttempt(request) || (!request.repeatable && !request.openAttempts.empty()))
             return;
-        const TargetChoice choice = this->chooseTarget(request);
+        const TargetChoice choice = chooseTarget(this->state, request, this->now);
         if (choice.target != nullptr)
             return this->sendTo(position, *choice.target);
         if (!request.openAttempts.empty())
@@ -390,8 +342,9 @@
         request.lastTarget = target.id;
         ++this->state.attemptsPerTarget[target.id];
         recordSent(this->state.health[target.id], this->now);
-        this->state.attempts.emplace(operation, EntryAttempt{target.id, this->now, position->first,
-                                                             false, this->softwareOf(target.id)});
+        this->state.attempts.emplace(operation,
+                                     EntryAttempt{target.id, this->now, position->first, false,
+                                                  softwareOf(*this->state.directory, target.id)});
         this->actions.emplace_back(SendAttempt{operation, target, request.call, request.deadline,
                                                request.kind == RouteKind::Stream,
                                                request.repeatable, request.lastEventId});
@@ -415,58 +368,6 @@
         return true;
     }
 
-    // Targets that the request was already sent to are chosen only if there is no other, or if the
-    // others take no request in time.
-    TargetChoice chooseTarget(const EntryRequest &request)
-    {
-        std::vector<Candidate> untried;
-        std::vector<Candidate> alreadyTried;
-        for (const FleetTarget *fleetTarget :
-             servingTargets(*this->state.directory->targets, request.service)) {
-            const TargetId &id = fleetTarget->target.id;
-            if (request.resumable && request.lastEventId > 0
-                && fleetTarget->software != request.software)
-                continue;
-            const Candidate candidate{&fleetTarget->target,
-                                      countOf(this->state.attemptsPerTarget, id)
-                                              + countOf(this->state.reportedWaiting, id),
-                                      0, isUsable(this->state.health[id], this->now)};
-            (request.triedTargets.count(id) == 0 ? untried : alreadyTried).push_back(candidate);
-        }
-        if (untried.empty() && request.openAttempts.empty())
-            return this->choosePermitted(std::move(alreadyTried));
-        TargetChoice choice = this->choosePermitted(std::move(untried));
-        if (choice.target == nullptr && request.refusals > 0)
-            choice.alreadyTried = this->choosePermitted(std::move(alreadyTried)).target;
-        return choice;
-    }
-
-    // Targets without a permit are passed over. The first of them gets a permit requested, so that
-    // it keeps its share of the requests.
-    TargetChoice choosePermitted(std::vector<Candidate> candidates)
-    {
-        constexpr auto noLimit = std::numeric_limits<std::uint32_t>::max();
-        Permits &permits = this->state.permits;
-        TargetChoice choice;
-        const Target *preferred = nullptr;
-        while (const Target *target = chooseByOwnCount(candidates, noLimit, this->state.random)) {
-            if (hasPermit(permits, target->id, this->now)) {
-                choice.target = target;
-                break;
-            }
-            preferred = preferred == nullptr ? target : preferred;
-            const auto permitAt = [&](const Target &limited) {
-                return expectedPermitAt(permits, limited.id, this->now).value_or(this->now);
-            };
-            if (choice.rateLimited == nullptr || permitAt(*target) < permitAt(*choice.rateLimited))
-                choice.rateLimited = target;
-            std::erase_if(candidates, [&](const Candidate &c) { return c.target == target; });
-        }
-        if (choice.target != nullptr && preferred != nullptr)
-            wantPermit(permits, preferred->id, this->now);
-        return choice;
-    }
-
     // Retries after an attempt that did not run and therefore does not count.
     void retryAfterRefusal(Requests::iterator position)
     {
@@ -477,14 +378,7 @@
             return;
         if (request.refusals > this->state.settings.maxRefusals || !this->mayAttempt(request))
             return this->finishUnserved(position, EntryVerdict::TargetsFull);
-        const auto targets = servingTargets(*this->state.directory->targets, request.service);
-        const bool hasUntried =
-                std::any_of(targets.begin(), targets.end(), [&](const FleetTarget *candidate) {
-                    const TargetId &id = candidate->target.id;
-                    return request.triedTargets.count(id) == 0
-                           && hasPermit(this->state.permits, id, this->now);
-                });
-        if (hasUntried)
+        if (hasUntriedTarget(this->state, request, this->now))
             return this->sendNextAttempt(position);
         request.nextAttemptAt = this->now + this->state.settings.refusalBackoff * request.refusals;
     }
@@ -618,6 +512,22 @@
         else
             recordFailure(health, {}, this->now);
     }
+
+    // Runs after each event.
+    void maintainStreamOrigins()
+    {
+        const Directory *directory = this->state.directory.get();
+        if (directory == nullptr)
+            return;
+        auto write = dueOriginWrite(this->state.streamOrigins, directory->presence.nodes.size(),
+                                    this->now);
+        if (write)
+            this->actions.emplace_back(std::move(*write));
+        if (this->now < this->state.nextSweepAt || !hasResumableRoute(*directory))
+            return;
+        this->state.nextSweepAt = this->now + this->state.streamOrigins.settings.sweepPeriod;
+        this->actions.emplace_back(SweepStreamOrigins{});
+    }
 };
 
 } // namespace
@@ -645,6 +555,8 @@
     std::optional<Time> due = dueAt(state.permits);
     if (const auto originsDueAt = dueAt(state.streamOrigins))
         due = std::min(due.value_or(*originsDueAt), *originsDueAt);
+    if (state.directory && hasResumableRoute(*state.directory))
+        due = std::min(due.value_or(state.nextSweepAt), state.nextSweepAt);
     for (const auto &[reply, request] : state.requests) {
         const Time requestDue =
                 std::min(request.deadline, request.nextAttemptAt.value_or(request.deadline));
--- a/packages/core/tests/entry/unit-entry.cpp
+++ b/packages/core/tests/entry/unit-entry.cpp
@@ -417,6 +417,19 @@
     CHECK(harness.find<RequestPermits>() == nullptr);
 }
 
+TEST_CASE("a request waits for a permit rather than go to a target that fails")
+{
+    EntryHarness harness(2);
+    recordRateLimit(harness.state.permits, {"t0"}, RequestRate{5});
+    for (int i = 0; i < 3; ++i)
+        recordFailure(harness.state.health[{"t1"}], {}, harness.now);
+    harness.call(1, "/safe/x");
+    CHECK(harness.find<SendAttempt>() == nullptr);
+    harness.send(PermitsReceived{{"t0"}, PermitGrant{1}});
+    REQUIRE(harness.find<SendAttempt>() != nullptr);
+    CHECK(harness.find<SendAttempt>()->target.id == TargetId{"t0"});
+}
+
 TEST_CASE("requests that wait for a permit are sent when the target states no limit any more")
 {
     EntryHarness harness(1);
@@ -437,7 +450,7 @@
 SendAttempt beginStream(EntryHarness &harness, std::uint64_t reply)
 {
     harness.call(reply, "/resume/x");
-    const SendAttempt sent = *harness.find<SendAttempt>();
+    SendAttempt sent = *harness.find<SendAttempt>();
     harness.send(StreamHeadReceived{sent.operation, {200}});
     harness.send(StreamEventReceived{sent.operation, 1, "one"});
     return sent;
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -261,6 +261,7 @@
     startDeployment(fleet);
     startMixedSoftware(fleet);
     std::vector<std::thread> clients;
+    clients.reserve(streamCount);
     for (int i = 0; i < streamCount; ++i) {
         clients.emplace_back([&fleet, i] {
             fleet.call("node-a", "POST", "/chat/1", fmt::format("begun-{}", i), "x");
