Soak: start a killed node again though its end was seen late

Cause: the harness took a killed node whose end it had not seen when the restart was due for one that another fault had restarted, and left it down. No check is changed.

--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -99,12 +99,13 @@
     this->fleet.process(fault.subject).signal(SIGCONT);
 }
 
-// Does nothing for a running node that was not sent SIGTERM: another fault has restarted it.
+// Does nothing for a running node that was sent no SIGTERM or SIGKILL: another fault has restarted
+// it.
 void Injector::restart(const std::string &node, Time deadline)
 {
     int status = 0;
     if (!this->fleet.process(node).hasEnded(status)) {
-        if (!this->stoppingNodes.contains(node))
+        if (!this->stoppingNodes.contains(node) && !this->killedNodes.contains(node))
             return;
         if (now() < deadline) {
             this->scheduledActions.emplace(now() + exitCheckPeriod, [this, node, deadline] {
