Bound the stream origins that wait for the store

What callers saw: nothing yet; found at the read-through. While the store did not answer, the ids of origins to be written and to be removed grew with every stream that began.

--- a/packages/core/src/entry/stream_origins.cpp
+++ b/packages/core/src/entry/stream_origins.cpp
@@ -13,7 +13,9 @@
             if (position->second.expiresAt > now
                 && streams.origins.size() <= streams.settings.maxOrigins)
                 return;
-            streams.expired.push_back(position->first);
+            // Beyond the limit the removal is left to the sweep.
+            if (streams.expired.size() < streams.settings.maxOrigins)
+                streams.expired.push_back(position->first);
             streams.origins.erase(position);
         }
         streams.order.pop_front();
@@ -36,6 +38,8 @@
         return;
     streams.order.push_back(origin.requestId);
     streams.unstored.push_back(origin.requestId);
+    if (streams.unstored.size() > streams.settings.maxOrigins)
+        streams.unstored.pop_front();
     expireOrigins(streams, now);
 }
 
--- a/packages/core/tests/entry/unit-stream_origins.cpp
+++ b/packages/core/tests/entry/unit-stream_origins.cpp
@@ -59,3 +59,14 @@
     CHECK(streams.origins.empty());
     CHECK(written - removed < streams.settings.maxRemovals);
 }
+
+TEST_CASE("memory is bounded while the store does not answer")
+{
+    StreamOrigins streams;
+    streams.settings.maxOrigins = 100;
+    for (int i = 0; i < 1000; ++i) {
+        recordStreamOrigin(streams, {"id" + std::to_string(i), {"v1"}}, start);
+        CHECK(streams.unstored.size() <= 100);
+        CHECK(streams.expired.size() <= 100);
+    }
+}
