Take no interim response for the response, and bodies with a length in parts

Cause: two faults of the HTTP client, found by the test that cuts a head at each byte. An interim response (1xx) ended the exchange: the caller got a 103, and the connection went back to the pool with the response proper still to come, where it would have met the next request. And Boost 1.74 compares a body's length with an absent limit, so that every response with a length failed where a stream was wanted: an engine's 503 with a body was a lost answer instead of a refusal.

Ruled out: heads cut at any byte, plain and in parts, are all reported lost, as before.

Change: the client reads on behind an interim response with a fresh parser, and the limit of bodies in parts is a number. Bodies are delivered in parts only with status 200 and the media type that the request names, so that another 200 arrives whole, and the result tells whether that happened.

--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -33,6 +33,7 @@
     /// Whether the length of the response was known from its framing. A response that ends with its
     /// connection may be truncated.
     bool isSelfDelimited = true;
+    bool isDeliveredInParts = false; ///< The body was passed to `HttpRequest::onBodyPart`.
 };
 
 /// The status and headers of a response whose body is delivered in parts.
@@ -62,8 +63,11 @@
     /// `done`, whose result then has no body. The parts are not stored, so that the body may have
     /// any length.
     std::function<void(std::string &&)> onBodyPart = {};
-    /// When set together with `onBodyPart`, receives the status and headers of a response with
-    /// status 200.
+    /// The media type of the responses whose body is delivered in parts; if empty, any. The body of
+    /// a response with another type is stored, up to a limit.
+    std::string bodyPartType = {};
+    /// When set together with `onBodyPart`, receives the status and headers of a response whose
+    /// body is delivered in parts.
     std::function<void(HttpResponseHead &&)> onResponseHead = {};
     std::vector<core::HttpHeader> headers = {};
     std::string idHeader = "X-Request-Id";
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <atomic>
 #include <charconv>
+#include <limits>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -84,11 +86,7 @@
     Exchange(Implementation &client, HttpRequest request)
         : client(client), request(std::move(request))
     {
-        this->parser.header_limit(maxResponseHeaderBytes);
-        if (this->request.onBodyPart)
-            this->parser.body_limit(boost::none);
-        else
-            this->parser.body_limit(client.settings.maxBodyBytes);
+        this->resetParser();
     }
 
     void start()
@@ -120,6 +118,16 @@
     }
 
 private:
+    void resetParser()
+    {
+        this->parser.emplace();
+        this->parser->header_limit(maxResponseHeaderBytes);
+        // Boost 1.74 rejects each body with a length if the limit is none.
+        this->parser->body_limit(this->request.onBodyPart
+                                         ? std::numeric_limits<std::uint64_t>::max()
+                                         : this->client.settings.maxBodyBytes);
+    }
+
     void onConnected(beast::error_code error)
     {
         if (this->completed)
@@ -181,10 +189,15 @@
             return;
         if (error)
             return this->fail(SendFailure::AnswerLost);
+        this->readResponse();
+    }
+
+    void readResponse()
+    {
         if (this->request.onBodyPart)
             return this->readPart();
         http::async_read(
-                this->connection->stream, this->connection->buffer, this->parser,
+                this->connection->stream, this->connection->buffer, *this->parser,
                 [self = this->shared_from_this()](beast::error_code readError, std::size_t) {
                     self->onRead(readError);
                 });
@@ -194,45 +207,65 @@
     {
         this->updateExpiry();
         http::async_read_some(
-                this->connection->stream, this->connection->buffer, this->parser,
+                this->connection->stream, this->connection->buffer, *this->parser,
                 [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                     self->onPartRead(error);
                 });
     }
 
-    // Only the body of a response with status 200 is delivered in parts. Other bodies are short
-    // error messages, which are buffered up to a limit.
+    // Other bodies than those delivered in parts are short messages, which are buffered up to a
+    // limit.
     void onPartRead(beast::error_code error)
     {
         if (this->completed)
             return;
-        const bool deliversBody =
-                this->parser.is_header_done() && this->parser.get().result() == http::status::ok;
+        const bool deliversBody = this->isDeliveredInParts();
         const bool isMatching = this->isMatchingResponse();
-        std::string &body = this->parser.get().body();
+        std::string &body = this->parser->get().body();
         if (isMatching && deliversBody)
             this->deliverPart(body);
         if (error || !isMatching || body.size() > maxBufferedPartBytes)
             return this->fail(SendFailure::AnswerLost);
-        if (this->parser.is_done())
+        if (this->parser->is_done())
             return this->onRead({});
         this->readPart();
     }
 
+    bool isDeliveredInParts()
+    {
+        if (!this->parser->is_header_done() || this->parser->get().result() != http::status::ok)
+            return false;
+        const std::string &type = this->request.bodyPartType;
+        const auto received = this->parser->get()[http::field::content_type];
+        return type.empty()
+               || (beast::iequals(received.substr(0, type.size()), type)
+                   && (received.size() == type.size() || received[type.size()] == ';'
+                       || received[type.size()] == ' '));
+    }
+
     void deliverPart(std::string &body)
     {
         if (!std::exchange(this->headDelivered, true) && this->request.onResponseHead)
             this->request.onResponseHead(
-                    {this->parser.get().result_int(), this->responseHeaders()});
+                    {this->parser->get().result_int(), this->responseHeaders()});
         if (!body.empty())
             this->request.onBodyPart(std::exchange(body, {}));
     }
 
+    // The response itself is still to come, except behind a change of the protocol.
+    bool isInterimResponse()
+    {
+        constexpr unsigned firstFinalStatus = 200;
+        const unsigned status = this->parser->get().result_int();
+        return status < firstFinalStatus
+               && this->parser->get().result() != http::status::switching_protocols;
+    }
+
     bool isMatchingResponse()
     {
-        if (!this->parser.is_header_done() || this->request.requestId.empty())
+        if (!this->parser->is_header_done() || this->request.requestId.empty())
             return true;
-        const auto &response = this->parser.get();
+        const auto &response = this->parser->get();
         const auto echoed = response.find(this->request.idHeader);
         return echoed == response.end() || echoed->value() == this->request.requestId;
     }
@@ -240,7 +273,7 @@
     std::vector<core::HttpHeader> responseHeaders()
     {
         std::vector<core::HttpHeader> headers;
-        for (const auto &header : this->parser.get())
+        for (const auto &header : this->parser->get())
             headers.push_back({std::string(header.name_string()), std::string(header.value())});
         return headers;
     }
@@ -251,13 +284,18 @@
             return;
         if (error || !this->isMatchingResponse())
             return this->fail(SendFailure::AnswerLost);
-        auto &response = this->parser.get();
+        if (this->isInterimResponse()) {
+            this->resetParser();
+            return this->readResponse();
+        }
+        auto &response = this->parser->get();
         HttpResult result;
         result.status = response.result_int();
         result.contentType = std::string(response[http::field::content_type]);
         result.headers = this->responseHeaders();
-        result.isSelfDelimited = !this->parser.need_eof();
+        result.isSelfDelimited = !this->parser->need_eof();
         result.body = std::move(response.body());
+        result.isDeliveredInParts = this->headDelivered;
         this->releaseConnection(result.isSelfDelimited);
         this->complete(std::move(result));
     }
@@ -265,7 +303,7 @@
     // Bytes after the response belong to no request, so such a connection is not reused.
     void releaseConnection(bool isSelfDelimited)
     {
-        const auto &response = this->parser.get();
+        const auto &response = this->parser->get();
         if (!this->request.reuseConnection || !isSelfDelimited || !response.keep_alive()
             || this->connection->buffer.size() > 0)
             return;
@@ -280,7 +318,10 @@
         this->client.pool.release(this->request.address, std::exchange(this->connection, nullptr));
     }
 
-    void fail(SendFailure failure) { this->complete({failure, 0, {}, {}, {}, true}); }
+    void fail(SendFailure failure)
+    {
+        this->complete({failure, 0, {}, {}, {}, true, this->headDelivered});
+    }
 
     // Makes closing the connection send a reset, so that an abandoned request cannot arrive later:
     // after a plain close, the system would still deliver bytes that a network partition held back.
@@ -312,7 +353,7 @@
     std::shared_ptr<Connection> connection;
     HttpRequest request;
     http::request<http::string_body> message;
-    http::response_parser<http::string_body> parser;
+    std::optional<http::response_parser<http::string_body>> parser;
     bool writeStarted = false;
     bool headDelivered = false;
     bool completed = false;
