HTTP server: close a connection on a response out of order

Cause: the server wrote whatever it was handed, so that a whole response behind the first part of another reached the client within its stream.

--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -108,9 +108,10 @@
     /// \return the port that the server listens on.
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Responds to a request. An unknown token is ignored. Thread-safe; blocks while the ring is
-    /// full. The ring holds one response for each connection, so that there is room for every
-    /// accepted request.
+    /// Responds to a request. An unknown token is ignored. A response that begins although its
+    /// first part was sent, or goes on although none was, closes the connection. Thread-safe;
+    /// blocks while the ring is full. The ring holds one response for each connection, so that
+    /// there is room for every accepted request.
     void respond(ServerResponse &&response);
 
     /// Changes the limits for later requests. Thread-safe.
@@ -123,6 +124,9 @@
     /// \return false when that takes longer than `timeout`.
     bool waitForPendingResponses(core::Duration timeout);
 
+    /// \return the number of responses that did not follow the parts sent before them.
+    [[nodiscard]] std::uint64_t misplacedResponseCount() const;
+
     /// Stops the thread. No callback runs after it returns, and later responses are discarded.
     void stop();
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -78,6 +78,7 @@
     RequestHandler handler;
     DisconnectHandler disconnectHandler;
     std::atomic<bool> keepAliveDisabled = false;
+    std::atomic<std::uint64_t> misplacedResponses = 0;
     std::mutex mutex;
     std::condition_variable pendingChanged;
     int pendingResponses = 0; // Guarded by `mutex`.
@@ -147,8 +148,24 @@
                           });
     }
 
+    // Whether this part may follow the parts so far. A response that begins a second time would
+    // reach the client within the body of the first.
+    [[nodiscard]] bool isInOrder(const ServerResponse &response) const
+    {
+        const bool begins =
+                response.part == ResponsePart::Whole || response.part == ResponsePart::First;
+        return response.abortConnection || begins != this->partsBegun;
+    }
+
+    void breakOff()
+    {
+        this->releasePending();
+        this->close();
+    }
+
     void writePart(ServerResponse &&response)
     {
+        this->partsBegun = true;
         this->parts.push_back(std::move(response));
         if (this->parts.size() > maxQueuedParts)
             return this->close();
@@ -324,6 +341,7 @@
         this->currentToken = token;
         this->server.pendingSessions.emplace(token, this->shared_from_this());
         this->responsePending = true;
+        this->partsBegun = false;
         this->server.updatePendingResponses(true);
         if (this->server.handler(std::move(request))) {
             if (this->server.disconnectHandler)
@@ -380,6 +398,7 @@
     std::size_t bufferedBytes = 0;
     core::ReplyToken currentToken{};
     bool responsePending = false;
+    bool partsBegun = false; // The first part of the pending response was accepted.
     bool keepAlive = false;
 };
 
@@ -413,6 +432,11 @@
     if (position == this->pendingSessions.end())
         return;
     const std::shared_ptr<Session> session = position->second;
+    if (!session->isInOrder(response)) {
+        ++this->misplacedResponses;
+        this->pendingSessions.erase(position);
+        return session->breakOff();
+    }
     const bool isWhole = response.part == ResponsePart::Whole;
     if (isWhole || response.part == ResponsePart::Last || response.abortConnection)
         this->pendingSessions.erase(position);
@@ -473,6 +497,11 @@
                                           [&server] { return server.pendingResponses == 0; });
 }
 
+std::uint64_t HttpServer::misplacedResponseCount() const
+{
+    return this->implementation->misplacedResponses;
+}
+
 void HttpServer::stop()
 {
     this->implementation->loop.stop();
