Let a stream that has begun end only as a stream

Reports of other operators: a stream broke off, the next target answered with an error, and clients found its text in their stream, or a stream that ended as if complete.

Cause: forwardAnswer and refuse ended a request without regard to its head; only finishUnserved looked at it. Events that skipped a number were passed on, an event cut off by a proper end of the body was dropped silently, a 200 that is no stream of events ended a resumed text as complete (streams of clients and texts of batches alike), and a stream without numbers was begun again from the start.

Ruled out: the HTTP server's framing; it wrote what it was handed.

Change: finish() is the one place that ends a request and knows whether a head went out; then it can only end the stream as broken. placeOf() decides for streams and texts where an event stands: gaps, and missing numbers behind numbered events, give the attempt up, which goes on elsewhere from the last event. A stream is complete only behind a whole event; without an end mark a further attempt has to show that nothing is missing. A stream without the target's signature is not passed on. Comments are no events.

--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -88,19 +88,23 @@
 {
     OperationId operation{};
     EntryAnswer head;
+    bool hasSignature = false; ///< The head carries the target's signature.
     std::optional<RequestRate> rateLimit = {}; ///< The limit that the target states, if any.
 };
-/// One complete event of a stream arrived.
+/// One complete event of a stream arrived, or a comment between two events.
 struct StreamEventReceived
 {
     OperationId operation{};
-    std::uint64_t eventId = 0;
+    std::uint64_t eventId = 0; ///< 0 if the event carries no number.
     std::string bytes;
+    bool isComment = false;
 };
 struct StreamEnded
 {
     OperationId operation{};
-    bool complete = false;
+    bool complete = false; ///< The end of the stream arrived, and no event before it is cut off.
+    /// The end was marked; otherwise the target just closed the connection.
+    bool hasEndMarker = true;
 };
 struct EntryAttemptFailed
 {
@@ -176,7 +180,8 @@
     TimedOut,
 };
 
-/// Sends the final answer of a request, with the details for its log line.
+/// Sends the final answer of a request, with the details for its log line. Never follows
+/// `SendStreamHead` of the same request.
 struct AnswerEntryCall
 {
     ReplyToken reply{};
@@ -250,6 +255,7 @@
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
     SoftwareVersion software; ///< The target's software.
+    bool hasEvents = false; ///< Events of its stream were sent to the caller.
 };
 
 /// A request that has no final answer yet.
@@ -307,7 +313,8 @@
 
 /// Handles one event and returns the actions to perform.
 /// Invariants: a request that must not be repeated is never in flight at two targets, and is not
-/// retried after an attempt that may have run; a request is refused only if no attempt has run.
+/// retried after an attempt that may have run; a request is refused only if no attempt has run; a
+/// stream whose head was sent ends with `EndStream`, as complete only after its last event.
 /// Complexity: linear in targets.
 std::vector<EntryAction> step(EntryState &state, const EntryEvent &event, Time now);
 
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -1,5 +1,7 @@
 #include "batch_context.hpp"
 
+#include <geraniumpulley/core/event_sequence.hpp>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -316,13 +318,16 @@
 void onRunEventReceived(BatchContext &context, const RunEventReceived &event)
 {
     const FoundRun found = findRun(context, event.run);
-    if (found.record == nullptr || event.eventId <= found.item->lastEventId)
+    if (found.record == nullptr)
+        return;
+    const EventPlace place = placeOf(event.eventId, found.item->lastEventId);
+    if (place == EventPlace::Repeated)
         return;
     if (event.version && !recordVersion(context, event.run, *event.version))
         return;
     ItemState &item = *found.item;
     // Each event needs a known weight version, and a gap would lose a part of the text.
-    if (!found.record->hasVersion || event.eventId != item.lastEventId + 1)
+    if (!found.record->hasVersion || place != EventPlace::Next)
         return cancelAndRequeue(context, event.run, RunCause::AfterLoss,
                                 context.state.settings.failureBackoff);
     // An engine that does not end a text must not fill the memory.
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "target_choice.hpp"
 
+#include <geraniumpulley/core/event_sequence.hpp>
 #include <geraniumpulley/core/http_status.hpp>
 
 #include <algorithm>
@@ -92,6 +93,9 @@
         if (event.notExecuted || event.answer.status == status::misdirected)
             return this->retryAfterRefusal(position);
         request.mayHaveRun = true;
+        // A stream that has begun takes nothing but events of a stream.
+        if (request.headSent)
+            return this->retryAfterLoss(position);
         const bool isAuthentic = event.hasSignature && !event.encoded;
         if (!isAuthentic && isSuccess(event.answer.status))
             return this->retryAfterLoss(position);
@@ -109,8 +113,11 @@
         if (attempt == this->state.attempts.end() || attempt->second.cancelled)
             return;
         this->noteRateLimit(attempt->second.target, event.rateLimit);
-        EntryRequest &request = this->state.requests.at(attempt->second.reply);
+        const auto position = this->state.requests.find(attempt->second.reply);
+        EntryRequest &request = position->second;
         request.mayHaveRun = true;
+        if (!event.hasSignature)
+            return this->abandonStream(position, attempt->second, event.operation);
         // A stream that was resumed at another target keeps the head of the first one.
         if (!std::exchange(request.headSent, true))
             this->actions.emplace_back(SendStreamHead{attempt->second.reply, event.head});
@@ -121,12 +128,26 @@
         const auto attempt = this->state.attempts.find(event.operation);
         if (attempt == this->state.attempts.end() || attempt->second.cancelled)
             return;
-        EntryRequest &request = this->state.requests.at(attempt->second.reply);
-        if (event.eventId != 0 && event.eventId <= request.lastEventId)
+        const auto position = this->state.requests.find(attempt->second.reply);
+        EntryRequest &request = position->second;
+        if (event.isComment) {
+            this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
             return;
+        }
+        if (!this->isUncheckedStart(request, event)) {
+            const EventPlace place = placeOf(event.eventId, request.lastEventId);
+            if (place == EventPlace::Repeated)
+                return;
+            if (place == EventPlace::AfterGap)
+                return this->abandonStream(position, attempt->second, event.operation);
+        }
         if (request.lastEventId == 0)
             this->beginStream(request, attempt->second.software);
-        request.lastEventId = std::max(request.lastEventId, event.eventId);
+        // No other target can go on behind an event without a number.
+        if (event.eventId == 0)
+            request.repeatable = false;
+        request.lastEventId = event.eventId;
+        attempt->second.hasEvents = true;
         this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
     }
 
@@ -155,10 +176,14 @@
         const auto position = this->state.requests.find(attempt->reply);
         if (position == this->state.requests.end())
             return;
-        if (!event.complete)
+        // Whether a target that closes without an end marker sent all events is shown by a further
+        // attempt, which then ends without an event.
+        const EntryRequest &request = position->second;
+        const bool isProved = event.hasEndMarker || !request.repeatable
+                              || (!attempt->hasEvents && request.lastEventId > 0);
+        if (!event.complete || !isProved)
             return this->retryAfterLoss(position);
-        this->actions.emplace_back(EndStream{position->first, true});
-        this->closeRequest(position);
+        this->endStream(position, true);
     }
 
     void operator()(const EntryAttemptFailed &event)
@@ -250,6 +275,13 @@
         this->sendNextAttempt(position);
     }
 
+    // Events may go without numbers, and the numbers of a stream that cannot be resumed may start
+    // anywhere.
+    static bool isUncheckedStart(const EntryRequest &request, const StreamEventReceived &event)
+    {
+        return request.lastEventId == 0 && (event.eventId == 0 || !request.repeatable);
+    }
+
     void beginStream(EntryRequest &request, const SoftwareVersion &software)
     {
         request.software = software;
@@ -403,10 +435,6 @@
     void finishUnserved(Requests::iterator position, EntryVerdict verdict, Duration retryDelay = {})
     {
         EntryRequest &request = position->second;
-        if (request.headSent) {
-            this->actions.emplace_back(EndStream{position->first, false});
-            return this->closeRequest(position);
-        }
         if (request.targetFailure) {
             const EntryAnswer failure = std::move(*request.targetFailure);
             return this->finish(position, failure, EntryVerdict::Served);
@@ -438,10 +466,14 @@
         this->finish(position, std::move(answer), EntryVerdict::Served, event.signature);
     }
 
+    // Ends a request with an answer. All requests but complete streams end here, so that no answer
+    // can follow the head of a stream: the stream ends as broken instead.
     void finish(Requests::iterator position, EntryAnswer answer, EntryVerdict verdict,
                 const std::string &signature = {})
     {
         const EntryRequest &request = position->second;
+        if (request.headSent)
+            return this->endStream(position, false);
         if (request.scoreRequest) {
             this->finishScore(request, answer, verdict, signature);
         } else {
@@ -457,6 +489,22 @@
         this->closeRequest(position);
     }
 
+    void endStream(Requests::iterator position, bool isComplete)
+    {
+        this->actions.emplace_back(EndStream{position->first, isComplete});
+        this->closeRequest(position);
+    }
+
+    // Gives up an attempt whose stream cannot be passed on, and goes on elsewhere if possible.
+    void abandonStream(Requests::iterator position, EntryAttempt &attempt, OperationId operation)
+    {
+        recordFailure(this->state.health[attempt.target], {}, this->now);
+        attempt.cancelled = true;
+        position->second.openAttempts.erase(operation);
+        this->actions.emplace_back(CancelAttempt{operation});
+        this->retryAfterLoss(position);
+    }
+
     void finishScore(const EntryRequest &request, const EntryAnswer &answer, EntryVerdict verdict,
                      const std::string &signature)
     {
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -107,15 +107,17 @@
                                              platform::decodeRateLimit(head.headers)});
         };
         request.onBodyPart = [this, id = run.run, buffer](std::string &&piece) {
-            for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
-                this->push(core::RunEventReceived{id, event.eventId, std::move(event.text),
-                                                  event.version});
+            for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece)) {
+                if (!event.isComment)
+                    this->push(core::RunEventReceived{id, event.eventId, std::move(event.text),
+                                                      event.version});
+            }
             if (buffer->isOverlong)
                 cancelOverlong(this->parts, *this->parts.engineClient, id);
         };
-        request.done = [this, id = run.run, item, target = run.target.id.value,
+        request.done = [this, id = run.run, item, target = run.target.id.value, buffer,
                         sentAt = runtime::now()](net::HttpResult &&result) {
-            const core::RunEnd end = platform::decodeRunEnd(result);
+            const core::RunEnd end = platform::decodeRunEnd(result, *buffer);
             this->logRunEnd(item, target, result, end, runtime::now() - sentAt);
             this->push(core::RunEnded{id, end, platform::decodeRateStatement(result)});
         };
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -101,28 +101,22 @@
     {
         const core::OperationId operation = attempt.operation;
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
-        const auto headReceived = std::make_shared<bool>(false);
         request.readTimeout = streamReadTimeout;
-        request.onResponseHead = [this, operation, headReceived](net::HttpResponseHead &&head) {
-            *headReceived = true;
-            const auto rateLimit = platform::decodeRateLimit(head.headers);
-            this->push(core::StreamHeadReceived{
-                    operation, platform::decodeStreamHead(std::move(head)), rateLimit});
+        request.onResponseHead = [this, operation](net::HttpResponseHead &&head) {
+            this->push(platform::decodeStreamHead(operation, std::move(head)));
         };
         request.onBodyPart = [this, operation, buffer](std::string &&piece) {
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
                 this->push(core::StreamEventReceived{operation, event.eventId,
-                                                     std::move(event.rawBytes)});
+                                                     std::move(event.rawBytes), event.isComment});
             if (buffer->isOverlong)
                 cancelOverlong(this->parts, *this->parts.targetClient, operation);
         };
-        request.done = [this, attempt, headReceived,
-                        sentAt = runtime::now()](net::HttpResult &&result) {
+        request.done = [this, attempt, buffer, sentAt = runtime::now()](net::HttpResult &&result) {
             this->logAttempt(attempt, result, runtime::now() - sentAt);
-            if (!*headReceived)
+            if (!result.isDeliveredInParts)
                 return this->push(toEvent(attempt.operation, std::move(result)));
-            this->push(
-                    core::StreamEnded{attempt.operation, result.failure == net::SendFailure::None});
+            this->push(platform::decodeStreamEnd(attempt.operation, result, *buffer));
         };
         this->parts.targetClient->send(std::move(request));
     }
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -110,6 +110,7 @@
         if (active.mode != "down")
             reply = this->run(request);
         answer.status = reply.status;
+        answer.contentType = reply.contentType;
         answer.headers.insert(answer.headers.end(), reply.headers.begin(), reply.headers.end());
         answer.body = std::move(reply.body);
         answer.abortConnection = active.mode == "down" || active.mode == "lose_answer";
--- a/tests/standins/standin.hpp
+++ b/tests/standins/standin.hpp
@@ -23,6 +23,7 @@
     bool abortsConnection =
             false; ///< Whether the connection is aborted instead of sending this part.
     std::vector<geraniumpulley::net::HttpHeader> headers = {};
+    std::string contentType = "application/json";
 };
 
 /// Serves one request. Calls are serialized, so a service needs no locks.
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -119,6 +119,7 @@
             return reply;
         }
         reply.headers.push_back({"X-Weight-Versions", fmt::format("{}", this->version)});
+        reply.contentType = "text/event-stream";
         const std::string lastEventId = findHeader(request.headers, "Last-Event-Id");
         this->streamEvent(reply, requestId, lastEventId.empty() ? 1 : std::stoull(lastEventId) + 1);
         return reply;
