Hold targets to echoed ids, and streams to progress by events

Cause: a response without an id counted as a match, also on a reused connection. Change: a connection is pooled only if its server echoed the id, so that on a reused one a missing id is a mismatch; requests without ids, such as engine reports, use connections of their own. Ruled out: comparing ids of requests that carry none, as servers may generate X-Request-Id themselves (tried; the stand-in of the store does).

Slow and stalled streams. Cause: fixed limits between bytes, 2 s for streams and 1.5 s for runs. A comment now and then kept a stalled one open until the route's time; one that waited longer for a slot was cut each time anew. Change: only events are progress; the limit is a decision (silenceLimit): the base, 4 times the route's objective for streams, 8 times the pause seen at the target, doubled by each attempt for the same stream that was given up for its silence.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -213,6 +213,7 @@
     std::uint32_t urgency = 5; ///< Queueing urgency at the engine; 0 is the most urgent.
     Time deadline{}; ///< Time limit of the run, which the engine is also sent.
     RunCause cause = RunCause::First;
+    Duration silenceLimit{}; ///< Time without an event after which the run is given up.
 };
 /// Cancels a run; a `RunEnded` still follows.
 struct CancelRun
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -47,6 +47,9 @@
     Duration scoreRetryDelay = std::chrono::milliseconds(60); ///< Delay before a scoring retry.
     /// Unprocessable answers after which an item is lost.
     std::uint32_t maxUnprocessableAnswers = 1;
+    /// Least time without an event after which a run is given up. Longer than a weight load, during
+    /// which an engine may generate no token.
+    Duration minSilenceLimit = std::chrono::milliseconds(1500);
     /// Multiple of the engines' median event interval above which an engine counts as slow and its
     /// runs are moved.
     double slowEngineFactor = 2.0;
@@ -92,6 +95,7 @@
     SoftwareVersion software; ///< The software that generated the text.
     OperationId run{}; ///< The current run, in the phase `Running`.
     std::uint32_t startedRuns = 0; ///< Number of runs started.
+    std::uint32_t silentRuns = 0; ///< Runs in a row that were given up for their silence.
     std::uint32_t failures = 0; ///< Answers of engines that ran the item and failed.
     std::uint32_t unprocessableAnswers = 0; ///< Answers that the item can never be run.
     std::uint32_t scoreFailures = 0; ///< Scoring requests that the scorer failed.
@@ -195,6 +199,7 @@
     SoftwareVersion software; ///< The target's software.
     Time startedAt{};
     Time lastEventAt{}; ///< Time of the last event, or of the start.
+    Duration silenceLimit{}; ///< Time without an event after which the run is given up.
     std::uint64_t resumedAfterEventId = 0; ///< Last event received before this run; 0 if none.
     WeightVersion version{}; ///< Weights that generated the newest event.
     bool hasVersion = false; ///< The engine has stated its weight version.
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -151,6 +151,7 @@
     bool reuseConnection =
             false; ///< A keep-alive connection may be used, since the request may run twice.
     std::uint64_t lastEventId = 0; ///< The last stream event that the caller received.
+    Duration silenceLimit{}; ///< Time without an event after which a stream is given up.
 };
 /// Looks up in the store which software began a stream that a client takes up.
 struct FindStreamOrigin
@@ -245,17 +246,22 @@
     Duration retryAfter = std::chrono::milliseconds(100); ///< Sent to clients with a refusal.
     std::uint32_t maxRefusals = 6; ///< Attempts of a request that may end without running.
     Duration defaultTimeout = std::chrono::seconds(10); ///< For clients that send no timeout.
+    /// Least time without an event after which a stream is given up; clients do not wait longer.
+    Duration minSilenceLimit = std::chrono::milliseconds(2000);
+    /// The same as a multiple of the route's latency objective.
+    std::int64_t silenceLimitObjectives = 4;
 };
 
 /// An attempt in flight.
 struct EntryAttempt
 {
     TargetId target;
-    Time sentAt{};
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
     SoftwareVersion software; ///< The target's software.
     bool hasEvents = false; ///< Events of its stream were sent to the caller.
+    Time lastEventAt{}; ///< Time of the last event of its stream, or when it was sent.
+    Duration silenceLimit{}; ///< Time without an event after which its stream is given up.
 };
 
 /// A request that has no final answer yet.
@@ -286,6 +292,8 @@
     bool headSent = false; ///< The head of a stream has been sent to the caller.
     std::uint64_t lastEventId = 0; ///< The last stream event that was sent to the caller.
     SoftwareVersion software; ///< The software that generated the events of the stream.
+    Duration minSilenceLimit{}; ///< Of a stream, by its route.
+    std::uint32_t silentAttempts = 0; ///< Attempts that were given up for their silence.
 };
 
 /// The state of the entry duty.
@@ -299,6 +307,7 @@
             attemptsPerTarget; ///< This node's attempts in flight at each target.
     std::map<TargetId, std::uint32_t>
             reportedWaiting; ///< Requests queued at each target, as it last reported.
+    std::map<TargetId, Duration> eventPauses; ///< Smoothed time between events at each target.
     Permits permits;
     StreamOrigins streamOrigins;
     Time nextSweepAt{}; ///< Of the store's expired origins.
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -1,6 +1,7 @@
 #include "batch_context.hpp"
 
 #include <geraniumpulley/core/event_sequence.hpp>
+#include <geraniumpulley/core/silence_limit.hpp>
 
 #include <xxhash.h>
 
@@ -87,7 +88,8 @@
     ItemState &item = batch.items[index];
     const OperationId run = context.state.nextOperation;
     context.state.nextOperation = next(run);
-    ++context.state.engines[engine.target.id].activeRuns;
+    EngineStatus &status = context.state.engines[engine.target.id];
+    ++status.activeRuns;
     if (context.state.runs.empty())
         context.state.nextSlowRunCheckAt = context.now + context.state.settings.slowRunCheckPeriod;
     RunRecord record;
@@ -97,14 +99,16 @@
     record.software = engine.software;
     record.startedAt = context.now;
     record.lastEventAt = context.now;
+    record.silenceLimit = silenceLimit(context.state.settings.minSilenceLimit, status.eventInterval,
+                                       item.silentRuns);
     record.resumedAfterEventId = item.lastEventId;
     context.state.runs.emplace(run, record);
     const Duration timeout = route.giveUpAfter > Duration{} ? route.giveUpAfter : defaultTimeout;
     const std::uint32_t urgency =
             item.nextRunCause == RunCause::First ? defaultUrgency : resumedUrgency;
-    context.actions.emplace_back(StartRun{run, engine.target, engine.software, batch.head.id,
-                                          batch.spec, index, item.lastEventId, urgency,
-                                          batch.submittedAt + timeout, item.nextRunCause});
+    context.actions.emplace_back(StartRun{
+            run, engine.target, engine.software, batch.head.id, batch.spec, index, item.lastEventId,
+            urgency, batch.submittedAt + timeout, item.nextRunCause, record.silenceLimit});
     item.phase = ItemPhase::Running;
     item.run = run;
     item.lastTarget = engine.target.id;
@@ -337,6 +341,9 @@
                                 context.state.settings.failureBackoff);
     }
     recordEventInterval(context, *found.record);
+    // A run that brings one event only may have stalled behind it.
+    if (found.record->receivedEvents > 1)
+        item.silentRuns = 0;
     if (item.lastEventId == 0)
         item.software = found.record->software;
     else
@@ -379,6 +386,8 @@
             return finishText(context, batch, record.itemIndex);
         return requeueItem(item, RunCause::AfterLoss, context.now);
     case RunEnd::Broken:
+        if (context.now - record.lastEventAt >= record.silenceLimit)
+            ++item.silentRuns;
         if (record.receivedEvents == 0)
             engine.notBefore = context.now + settings.failureBackoff;
         return requeueItem(item, RunCause::AfterLoss, context.now);
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -4,6 +4,7 @@
 
 #include <geraniumpulley/core/event_sequence.hpp>
 #include <geraniumpulley/core/http_status.hpp>
+#include <geraniumpulley/core/silence_limit.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -16,6 +17,9 @@
 // that the two do not collide.
 constexpr std::uint64_t firstScoreToken = std::uint64_t{1} << 62U;
 
+// Pauses that the smoothed pause between events follows.
+constexpr int smoothedPauses = 5;
+
 bool isSuccess(std::uint32_t status)
 {
     return status >= status::ok && status < status::firstRedirection;
@@ -147,7 +151,7 @@
         if (event.eventId == 0)
             request.repeatable = false;
         request.lastEventId = event.eventId;
-        attempt->second.hasEvents = true;
+        this->recordEventPause(attempt->second);
         this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
     }
 
@@ -176,6 +180,7 @@
         const auto position = this->state.requests.find(attempt->reply);
         if (position == this->state.requests.end())
             return;
+        this->noteSilence(position->second, *attempt);
         // Whether a target that closes without an end marker sent all events is shown by a further
         // attempt, which then ends without an event.
         const EntryRequest &request = position->second;
@@ -201,6 +206,7 @@
         if (event.failure == EntryFailure::NotSent)
             return this->retryAfterRefusal(position);
         position->second.mayHaveRun = true;
+        this->noteSilence(position->second, *attempt);
         this->retryAfterLoss(position);
     }
 
@@ -210,6 +216,8 @@
         const TargetMap &targets = *event.directory->targets;
         std::erase_if(this->state.health,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
+        std::erase_if(this->state.eventPauses,
+                      [&](const auto &entry) { return targets.count(entry.first) == 0; });
         std::erase_if(this->state.reportedWaiting,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
         retainTargets(this->state.permits,
@@ -267,6 +275,9 @@
         entry.lastEventId = entry.call->lastEventId;
         if (route->timeout > Duration{})
             entry.deadline = std::min(entry.deadline, this->now + route->timeout);
+        entry.minSilenceLimit =
+                std::max(this->state.settings.minSilenceLimit,
+                         route->latencyObjective * this->state.settings.silenceLimitObjectives);
         entry.objectiveAt = entry.deadline;
         if (!entry.scoreRequest && route->latencyObjective > Duration{})
             entry.objectiveAt = std::min(entry.deadline, this->now + route->latencyObjective);
@@ -275,6 +286,23 @@
         this->sendNextAttempt(position);
     }
 
+    void recordEventPause(EntryAttempt &attempt)
+    {
+        const Duration pause = this->now - std::exchange(attempt.lastEventAt, this->now);
+        // The time to the first event includes the wait for a slot and the prompt.
+        if (!std::exchange(attempt.hasEvents, true))
+            return;
+        Duration &usual = this->state.eventPauses.try_emplace(attempt.target, pause).first->second;
+        usual += (pause - usual) / smoothedPauses;
+    }
+
+    void noteSilence(EntryRequest &request, const EntryAttempt &attempt) const
+    {
+        if (request.kind == RouteKind::Stream
+            && this->now - attempt.lastEventAt >= attempt.silenceLimit)
+            ++request.silentAttempts;
+    }
+
     // Events may go without numbers, and the numbers of a stream that cannot be resumed may start
     // anywhere.
     static bool isUncheckedStart(const EntryRequest &request, const StreamEventReceived &event)
@@ -374,12 +402,21 @@
         request.lastTarget = target.id;
         ++this->state.attemptsPerTarget[target.id];
         recordSent(this->state.health[target.id], this->now);
-        this->state.attempts.emplace(operation,
-                                     EntryAttempt{target.id, this->now, position->first, false,
-                                                  softwareOf(*this->state.directory, target.id)});
+        const auto pause = this->state.eventPauses.find(target.id);
+        EntryAttempt attempt;
+        attempt.target = target.id;
+        attempt.reply = position->first;
+        attempt.software = softwareOf(*this->state.directory, target.id);
+        attempt.lastEventAt = this->now;
+        attempt.silenceLimit =
+                silenceLimit(request.minSilenceLimit,
+                             pause == this->state.eventPauses.end() ? Duration{} : pause->second,
+                             request.silentAttempts);
         this->actions.emplace_back(SendAttempt{operation, target, request.call, request.deadline,
                                                request.kind == RouteKind::Stream,
-                                               request.repeatable, request.lastEventId});
+                                               request.repeatable, request.lastEventId,
+                                               attempt.silenceLimit});
+        this->state.attempts.emplace(operation, std::move(attempt));
         if (request.repeatable && request.kind != RouteKind::Stream && this->mayAttempt(request))
             request.nextAttemptAt = this->now + this->state.settings.hedgeDelay;
     }
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -100,6 +100,42 @@
     CHECK(fixture.item(run).text == "event");
 }
 
+TEST_CASE("a run that was given up for its silence gets twice the time, until events come again")
+{
+    SingleBatchFixture fixture;
+    const StartRun first = fixture.startedRuns[0];
+    const Duration limit = fixture.state.settings.minSilenceLimit;
+    CHECK(first.silenceLimit == limit);
+    const auto breakOff = [&](const StartRun &run, Duration after) {
+        fixture.now += after;
+        fixture.send(RunEnded{run.run, RunEnd::Broken, {}});
+        for (int i = 0; i < 20 && fixture.startedRuns.back().run == run.run; ++i) {
+            fixture.now += 100ms;
+            fixture.send(BatchTick{});
+        }
+        return fixture.startedRuns.back();
+    };
+    const StartRun second = breakOff(first, limit / 2);
+    REQUIRE(second.itemIndex == first.itemIndex);
+    CHECK(second.silenceLimit == limit);
+    const StartRun third = breakOff(second, limit);
+    CHECK(third.silenceLimit == 2 * limit);
+    fixture.send(RunHeadReceived{third.run, WeightVersion{2}});
+    fixture.sendEvent(third, 1);
+    fixture.sendEvent(third, 2);
+    CHECK(breakOff(third, 10ms).silenceLimit == limit);
+}
+
+TEST_CASE("an event without a number ends the run")
+{
+    SingleBatchFixture fixture;
+    const StartRun run = fixture.startedRuns[0];
+    fixture.send(RunHeadReceived{run.run, WeightVersion{2}});
+    fixture.sendEvent(run, 0);
+    CHECK(fixture.count<CancelRun>() == 1);
+    CHECK(fixture.item(run).text.empty());
+}
+
 TEST_CASE("an engine with a rate limit gets no run without a permit")
 {
     SingleBatchFixture fixture;
--- a/packages/core/tests/entry/unit-entry_streams.cpp
+++ b/packages/core/tests/entry/unit-entry_streams.cpp
@@ -22,6 +22,19 @@
     return *harness.find<SendAttempt>();
 }
 
+// A directory whose routes let requests run for a minute.
+DirectoryPointer makeLongDirectory(std::size_t targets, Duration objective)
+{
+    auto directory = std::make_shared<Directory>(*makeDirectory(targets));
+    auto routing = std::make_shared<RoutingTable>(*directory->routing);
+    for (Route &route : routing->routes) {
+        route.latencyObjective = objective;
+        route.timeout = 60s;
+    }
+    directory->routing = routing;
+    return directory;
+}
+
 void checkBroken(const EntryHarness &harness)
 {
     CHECK(harness.find<AnswerEntryCall>() == nullptr);
@@ -174,6 +187,39 @@
     CHECK(harness.find<EndStream>()->complete);
 }
 
+TEST_CASE("a stream that was given up for its silence gets twice the time at the next target")
+{
+    EntryHarness harness(3);
+    harness.send(EntryDirectoryChanged{makeLongDirectory(3, 0ms)});
+    harness.call(1, "/resume/x", 60s);
+    const SendAttempt first = *harness.find<SendAttempt>();
+    CHECK(first.silenceLimit == 2s);
+    harness.receiveHead(first.operation);
+    harness.now += 500ms;
+    harness.send(StreamEnded{first.operation, false});
+    const SendAttempt second = *harness.find<SendAttempt>();
+    CHECK(second.silenceLimit == 2s);
+    harness.now += second.silenceLimit;
+    harness.fail(second.operation, EntryFailure::AnswerLost);
+    CHECK(harness.find<SendAttempt>()->silenceLimit == 4s);
+}
+
+TEST_CASE("the limit of silence follows the objective of the route and the pauses of the target")
+{
+    EntryHarness harness(1);
+    harness.send(EntryDirectoryChanged{makeLongDirectory(1, 800ms)});
+    harness.call(1, "/stream/x", 60s);
+    const SendAttempt sent = *harness.find<SendAttempt>();
+    CHECK(sent.silenceLimit == 3200ms);
+    harness.receiveHead(sent.operation);
+    for (std::uint64_t event = 1; event <= 5; ++event) {
+        harness.now += 1s;
+        harness.send(StreamEventReceived{sent.operation, event, "event"});
+    }
+    harness.call(2, "/stream/x", 60s);
+    CHECK(harness.find<SendAttempt>()->silenceLimit == 8s);
+}
+
 TEST_CASE("property: whatever targets answer, a stream is whole and in order, or ends as broken")
 {
     constexpr std::uint64_t textLength = 5;
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -16,8 +16,6 @@
 using runtime::field;
 
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(400);
-// Longer than a weight load, during which an engine may generate no token.
-constexpr core::Duration runReadTimeout = std::chrono::milliseconds(1500);
 
 const char *nameOf(core::RunCause cause)
 {
@@ -99,7 +97,7 @@
         net::HttpRequest request = platform::encodeRun(run, runtime::now());
         request.deadline = run.deadline;
         request.connectTimeout = connectTimeout;
-        request.readTimeout = runReadTimeout;
+        request.readTimeout = run.silenceLimit;
         request.cancelKey = cancelKeyOf(run.run);
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
         request.onResponseHead = [this, id = run.run](net::HttpResponseHead &&head) {
@@ -107,13 +105,17 @@
                                              platform::decodeRateLimit(head.headers)});
         };
         request.onBodyPart = [this, id = run.run, buffer](std::string &&piece) {
+            bool hasEvent = false;
             for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece)) {
-                if (!event.isComment)
-                    this->push(core::RunEventReceived{id, event.eventId, std::move(event.text),
-                                                      event.version});
+                if (event.isComment)
+                    continue;
+                hasEvent = true;
+                this->push(core::RunEventReceived{id, event.eventId, std::move(event.text),
+                                                  event.version});
             }
             if (buffer->isOverlong)
                 cancelOverlong(this->parts, *this->parts.engineClient, id);
+            return hasEvent;
         };
         request.done = [this, id = run.run, item, target = run.target.id.value, buffer,
                         sentAt = runtime::now()](net::HttpResult &&result) {
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -18,8 +18,6 @@
 // A target on the same network accepts a connection in a few milliseconds; one that is powered off
 // never does.
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(300);
-// Longer than any permitted interval between two events of a stream.
-constexpr core::Duration streamReadTimeout = std::chrono::milliseconds(2000);
 
 const char *nameOf(core::EntryVerdict verdict)
 {
@@ -101,16 +99,20 @@
     {
         const core::OperationId operation = attempt.operation;
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
-        request.readTimeout = streamReadTimeout;
+        request.readTimeout = attempt.silenceLimit;
         request.onResponseHead = [this, operation](net::HttpResponseHead &&head) {
             this->push(platform::decodeStreamHead(operation, std::move(head)));
         };
         request.onBodyPart = [this, operation, buffer](std::string &&piece) {
-            for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece))
+            bool hasEvent = false;
+            for (platform::StreamEvent &event : platform::decodeEvents(*buffer, piece)) {
+                hasEvent = hasEvent || !event.isComment;
                 this->push(core::StreamEventReceived{operation, event.eventId,
                                                      std::move(event.rawBytes), event.isComment});
+            }
             if (buffer->isOverlong)
                 cancelOverlong(this->parts, *this->parts.targetClient, operation);
+            return hasEvent;
         };
         request.done = [this, attempt, buffer, sentAt = runtime::now()](net::HttpResult &&result) {
             this->logAttempt(attempt, result, runtime::now() - sentAt);
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -54,15 +54,17 @@
     std::string target;
     std::string contentType;
     std::string body;
-    std::string requestId; ///< Sent as `idHeader`; a response with another id is `AnswerLost`.
+    /// Sent as `idHeader`. A response with another id is `AnswerLost`, and so is one without an id
+    /// on a reused connection.
+    std::string requestId;
     core::Time deadline{};
     /// Called exactly once, on the client's thread, unless the client is stopped first. May block
     /// on a ring that its duty drains.
     std::function<void(HttpResult &&)> done;
     /// When set, receives the body of a response with status 200 in parts as they arrive, before
     /// `done`, whose result then has no body. The parts are not stored, so that the body may have
-    /// any length.
-    std::function<void(std::string &&)> onBodyPart = {};
+    /// any length. \return whether the part is progress, which starts the read timeout again.
+    std::function<bool(std::string &&)> onBodyPart = {};
     /// The media type of the responses whose body is delivered in parts; if empty, any. The body of
     /// a response with another type is stored, up to a limit.
     std::string bodyPartType = {};
@@ -76,8 +78,8 @@
     bool reuseConnection = false;
     /// Time limit for opening the connection. If it is 0, only the deadline applies.
     core::Duration connectTimeout{};
-    /// Time limit for the response, or for each part of it if `onBodyPart` is set. If it is 0, only
-    /// the deadline applies.
+    /// Time limit for the response, or for each progress of it if `onBodyPart` is set: its head,
+    /// then the parts that `onBodyPart` calls so. If it is 0, only the deadline applies.
     core::Duration readTimeout{};
     CancelKey cancelKey{}; ///< Identifies the request for `HttpClient::cancel`.
 };
--- a/packages/net/src/connection_pool.cpp
+++ b/packages/net/src/connection_pool.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // When this is exceeded, the connection that was released first is closed.
-constexpr std::size_t maxIdlePerAddress = 64;
+constexpr std::size_t maxIdlePerKey = 64;
 
 void close(Connection &connection)
 {
@@ -17,9 +17,9 @@
 
 } // namespace
 
-std::shared_ptr<Connection> ConnectionPool::acquire(const std::string &address, core::Time now)
+std::shared_ptr<Connection> ConnectionPool::acquire(const std::string &key, core::Time now)
 {
-    const auto position = this->idleConnections.find(address);
+    const auto position = this->idleConnections.find(key);
     if (position == this->idleConnections.end())
         return nullptr;
     auto &connections = position->second;
@@ -37,46 +37,43 @@
     return nullptr;
 }
 
-void ConnectionPool::release(const std::string &address,
-                             const std::shared_ptr<Connection> &connection)
+void ConnectionPool::release(const std::string &key, const std::shared_ptr<Connection> &connection)
 {
-    auto &connections = this->idleConnections[address];
+    auto &connections = this->idleConnections[key];
     connection->stream.expires_never();
-    if (connections.size() >= maxIdlePerAddress) {
+    if (connections.size() >= maxIdlePerKey) {
         close(*connections.front());
         connections.erase(connections.begin());
     }
     connections.push_back(connection);
-    this->watch(address, connection);
+    this->watch(key, connection);
 }
 
 void ConnectionPool::clear()
 {
-    for (auto &[address, connections] : this->idleConnections) {
+    for (auto &[key, connections] : this->idleConnections) {
         for (const auto &connection : connections)
             close(*connection);
     }
     this->idleConnections.clear();
 }
 
-void ConnectionPool::watch(const std::string &address,
-                           const std::shared_ptr<Connection> &connection)
+void ConnectionPool::watch(const std::string &key, const std::shared_ptr<Connection> &connection)
 {
     connection->stream.socket().async_wait(
             boost::asio::ip::tcp::socket::wait_read,
-            [this, address, connection,
+            [this, key, connection,
              uses = connection->useCount](const boost::system::error_code &error) {
                 if (error == boost::asio::error::operation_aborted || connection->useCount != uses)
                     return;
-                this->remove(address, connection);
+                this->remove(key, connection);
             });
 }
 
-void ConnectionPool::remove(const std::string &address,
-                            const std::shared_ptr<Connection> &connection)
+void ConnectionPool::remove(const std::string &key, const std::shared_ptr<Connection> &connection)
 {
     close(*connection);
-    const auto position = this->idleConnections.find(address);
+    const auto position = this->idleConnections.find(key);
     if (position != this->idleConnections.end())
         std::erase(position->second, connection);
 }
--- a/packages/net/src/connection_pool.hpp
+++ b/packages/net/src/connection_pool.hpp
@@ -26,25 +26,25 @@
     std::uint64_t useCount = 0;
 };
 
-/// A pool of idle connections, by server address. Not thread-safe.
+/// A pool of idle connections, by a key that holds the server's address. Not thread-safe.
 class ConnectionPool
 {
 public:
     explicit ConnectionPool(boost::asio::io_context &io) : io(io) { }
 
     /// \return an idle connection that has not expired and whose server has not closed it, or null.
-    std::shared_ptr<Connection> acquire(const std::string &address, core::Time now);
+    std::shared_ptr<Connection> acquire(const std::string &key, core::Time now);
 
     /// Returns a connection to the pool. It is removed when its server closes it or sends bytes
     /// that belong to no request; an expired one is closed when `acquire` reaches it.
-    void release(const std::string &address, const std::shared_ptr<Connection> &connection);
+    void release(const std::string &key, const std::shared_ptr<Connection> &connection);
 
     /// Closes all connections.
     void clear();
 
 private:
-    void watch(const std::string &address, const std::shared_ptr<Connection> &connection);
-    void remove(const std::string &address, const std::shared_ptr<Connection> &connection);
+    void watch(const std::string &key, const std::shared_ptr<Connection> &connection);
+    void remove(const std::string &key, const std::shared_ptr<Connection> &connection);
 
     boost::asio::io_context &io;
     std::map<std::string, std::vector<std::shared_ptr<Connection>>> idleConnections;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -92,7 +92,7 @@
     void start()
     {
         if (this->request.reuseConnection)
-            this->connection = this->client.pool.acquire(this->request.address, runtime::now());
+            this->connection = this->client.pool.acquire(this->poolKey(), runtime::now());
         if (this->connection)
             return this->write();
         const auto endpoint = detail::parseAddress(this->request.address);
@@ -165,7 +165,7 @@
             this->message.set(http::field::content_type, this->request.contentType);
         this->message.body() = std::move(this->request.body);
         this->message.prepare_payload();
-        this->updateExpiry();
+        this->restartReadTimeout();
         this->setResetOnClose(true);
         http::async_write(this->connection->stream, this->message,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
@@ -173,7 +173,7 @@
                           });
     }
 
-    void updateExpiry()
+    void restartReadTimeout()
     {
         core::Time expiry = this->request.deadline;
         if (this->request.readTimeout > core::Duration{})
@@ -205,7 +205,6 @@
 
     void readPart()
     {
-        this->updateExpiry();
         http::async_read_some(
                 this->connection->stream, this->connection->buffer, *this->parser,
                 [self = this->shared_from_this()](beast::error_code error, std::size_t) {
@@ -243,13 +242,18 @@
                        || received[type.size()] == ' '));
     }
 
+    // Bytes that complete nothing do not extend the time for the response: a stalled server may
+    // send some now and then.
     void deliverPart(std::string &body)
     {
-        if (!std::exchange(this->headDelivered, true) && this->request.onResponseHead)
+        bool isProgress = !std::exchange(this->headDelivered, true);
+        if (isProgress && this->request.onResponseHead)
             this->request.onResponseHead(
                     {this->parser->get().result_int(), this->responseHeaders()});
         if (!body.empty())
-            this->request.onBodyPart(std::exchange(body, {}));
+            isProgress = this->request.onBodyPart(std::exchange(body, {})) || isProgress;
+        if (isProgress && !this->completed)
+            this->restartReadTimeout();
     }
 
     // The response itself is still to come, except behind a change of the protocol.
@@ -261,13 +265,31 @@
                && this->parser->get().result() != http::status::switching_protocols;
     }
 
+    // A connection is pooled only if its server echoed a request id, so that on a reused one a
+    // response without the id is a late one to an earlier request.
     bool isMatchingResponse()
     {
-        if (!this->parser->is_header_done() || this->request.requestId.empty())
+        if (!this->parser->is_header_done() || this->isInterimResponse()
+            || this->request.requestId.empty())
             return true;
         const auto &response = this->parser->get();
         const auto echoed = response.find(this->request.idHeader);
-        return echoed == response.end() || echoed->value() == this->request.requestId;
+        if (echoed == response.end())
+            return this->connection->useCount == 0;
+        return echoed->value() == this->request.requestId;
+    }
+
+    // Requests without an id, which take any response, do not share connections with others, whose
+    // late responses they could meet.
+    std::string poolKey() const
+    {
+        return this->request.address + (this->request.requestId.empty() ? "" : " with ids");
+    }
+
+    bool echoesId()
+    {
+        return this->request.requestId.empty()
+               || this->parser->get().find(this->request.idHeader) != this->parser->get().end();
     }
 
     std::vector<core::HttpHeader> responseHeaders()
@@ -305,7 +327,7 @@
     {
         const auto &response = this->parser->get();
         if (!this->request.reuseConnection || !isSelfDelimited || !response.keep_alive()
-            || this->connection->buffer.size() > 0)
+            || this->connection->buffer.size() > 0 || !this->echoesId())
             return;
         const auto serverTimeout =
                 parseKeepAliveTimeout(std::string(response[http::field::keep_alive]));
@@ -315,7 +337,7 @@
         if (idleTimeout <= core::Duration{})
             return;
         this->setResetOnClose(false);
-        this->client.pool.release(this->request.address, std::exchange(this->connection, nullptr));
+        this->client.pool.release(this->poolKey(), std::exchange(this->connection, nullptr));
     }
 
     void fail(SendFailure failure)
--- a/packages/net/tests/unit-chunked_responses.cpp
+++ b/packages/net/tests/unit-chunked_responses.cpp
@@ -37,6 +37,7 @@
     request.done = [&done](net::HttpResult &&result) { done.set_value(std::move(result)); };
     request.onBodyPart = [&received](std::string &&part) {
         received.parts.push_back(std::move(part));
+        return true;
     };
     client->send(std::move(request));
     const core::ReplyToken token = requestToken.get_future().get();
--- a/packages/net/tests/unit-connection_reuse.cpp
+++ b/packages/net/tests/unit-connection_reuse.cpp
@@ -146,6 +146,31 @@
     client.reset();
 }
 
+TEST_CASE("on a reused connection a late copy of an answer is not taken for the next one's")
+{
+    const std::string copyWithoutId = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    for (const std::string &copy : {makeResponse("a"), copyWithoutId}) {
+        ScriptedServer server({makeResponse("a"), copy});
+        auto client = std::move(net::HttpClient::create({}).value());
+        CHECK(sendAndReceive(*client, makeRequest(server.address(), "a")).body == "ok");
+        CHECK(sendAndReceive(*client, makeRequest(server.address(), "b")).failure
+              == SendFailure::AnswerLost);
+        CHECK(server.connections == 1);
+        client.reset();
+    }
+}
+
+TEST_CASE("a connection whose server does not echo ids is not reused")
+{
+    const std::string withoutId = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    ScriptedServer server({withoutId, withoutId});
+    auto client = std::move(net::HttpClient::create({}).value());
+    CHECK(sendAndReceive(*client, makeRequest(server.address(), "a")).body == "ok");
+    CHECK(sendAndReceive(*client, makeRequest(server.address(), "b")).body == "ok");
+    CHECK(client->connectionsOpened() == 2);
+    client.reset();
+}
+
 TEST_CASE("a cancelled request fails at once and its connection is closed")
 {
     ScriptedServer server({""});
@@ -222,3 +247,20 @@
     CHECK(sendAndReceive(*client, std::move(secondRequest)).status == 413);
     client.reset();
 }
+
+TEST_CASE("a request without an id is not sent on a connection of requests with ids")
+{
+    std::unique_ptr<net::HttpServer> server;
+    server = std::move(net::HttpServer::create({}, [&](net::ServerRequest &&request) {
+                           net::ServerResponse response;
+                           response.token = request.token;
+                           server->respond(std::move(response));
+                           return true;
+                       }).value());
+    auto client = std::move(net::HttpClient::create({}).value());
+    const std::string address = "127.0.0.1:" + std::to_string(server->port());
+    for (const std::string id : {"a", "", "b", ""})
+        CHECK(sendAndReceive(*client, makeRequest(address, id)).status == 200);
+    CHECK(client->connectionsOpened() == 2);
+    client.reset();
+}
--- a/packages/net/tests/unit-cut_responses.cpp
+++ b/packages/net/tests/unit-cut_responses.cpp
@@ -40,7 +40,10 @@
     request.deadline = runtime::now() + 10s;
     if (inParts) {
         request.bodyPartType = "text/event-stream";
-        request.onBodyPart = [&received](std::string &&part) { received.body += part; };
+        request.onBodyPart = [&received](std::string &&part) {
+            received.body += part;
+            return true;
+        };
         request.onResponseHead = [&received](net::HttpResponseHead &&) { ++received.heads; };
     }
     request.done = [&done](net::HttpResult &&result) { done.set_value(std::move(result)); };
--- a/packages/node/src/rollout_duty.cpp
+++ b/packages/node/src/rollout_duty.cpp
@@ -76,12 +76,14 @@
         request.onBodyPart = [this, slot = generate.slot, attempt = generate.attempt, stream,
                               isBroken](std::string &&bytes) {
             if (*isBroken)
-                return;
+                return false;
             auto part = codec::decodeGenerationBytes(*stream, bytes);
             *isBroken = !part;
-            if (part && !part.value().spans.empty())
-                this->push(core::SampleProgressed{slot, attempt, std::move(part.value().text),
-                                                  std::move(part.value().spans)});
+            if (!part || part.value().spans.empty())
+                return false;
+            this->push(core::SampleProgressed{slot, attempt, std::move(part.value().text),
+                                              std::move(part.value().spans)});
+            return true;
         };
         request.done = [this, slot = generate.slot, attempt = generate.attempt, stream,
                         isBroken](net::HttpResult &&result) {
