--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -88,19 +88,23 @@
 {
     OperationId operation{};
     EntryAnswer head;
+    bool hasSignature = false; ///< The head carries the target's signature.
     std::optional<RequestRate> rateLimit = {}; ///< The limit that the target states, if any.
 };
-/// One complete event of a stream arrived.
+/// One complete event of a stream arrived, or a comment between two events.
 struct StreamEventReceived
 {
     OperationId operation{};
-    std::uint64_t eventId = 0;
+    std::uint64_t eventId = 0; ///< 0 if the event carries no number.
     std::string bytes;
+    bool isComment = false;
 };
 struct StreamEnded
 {
     OperationId operation{};
-    bool complete = false;
+    bool complete = false; ///< The end of the stream arrived, and no event before it is cut off.
+    /// The end was marked; otherwise the target just closed the connection.
+    bool hasEndMarker = true;
 };
 struct EntryAttemptFailed
 {
@@ -147,6 +151,7 @@
     bool reuseConnection =
             false; ///< A keep-alive connection may be used, since the request may run twice.
     std::uint64_t lastEventId = 0; ///< The last stream event that the caller received.
+    Duration silenceLimit{}; ///< Time without an event after which a stream is given up.
 };
 /// Looks up in the store which software began a stream that a client takes up.
 struct FindStreamOrigin
@@ -176,7 +181,8 @@
     TimedOut,
 };
 
-/// Sends the final answer of a request, with the details for its log line.
+/// Sends the final answer of a request, with the details for its log line. Never follows
+/// `SendStreamHead` of the same request.
 struct AnswerEntryCall
 {
     ReplyToken reply{};
@@ -240,16 +246,22 @@
     Duration retryAfter = std::chrono::milliseconds(100); ///< Sent to clients with a refusal.
     std::uint32_t maxRefusals = 6; ///< Attempts of a request that may end without running.
     Duration defaultTimeout = std::chrono::seconds(10); ///< For clients that send no timeout.
+    /// Least time without an event after which a stream is given up; clients do not wait longer.
+    Duration minSilenceLimit = std::chrono::milliseconds(2000);
+    /// The same as a multiple of the route's latency objective.
+    std::int64_t silenceLimitObjectives = 4;
 };
 
 /// An attempt in flight.
 struct EntryAttempt
 {
     TargetId target;
-    Time sentAt{};
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
     SoftwareVersion software; ///< The target's software.
+    bool hasEvents = false; ///< Events of its stream were sent to the caller.
+    Time lastEventAt{}; ///< Time of the last event of its stream, or when it was sent.
+    Duration silenceLimit{}; ///< Time without an event after which its stream is given up.
 };
 
 /// A request that has no final answer yet.
@@ -280,6 +292,8 @@
     bool headSent = false; ///< The head of a stream has been sent to the caller.
     std::uint64_t lastEventId = 0; ///< The last stream event that was sent to the caller.
     SoftwareVersion software; ///< The software that generated the events of the stream.
+    Duration minSilenceLimit{}; ///< Of a stream, by its route.
+    std::uint32_t silentAttempts = 0; ///< Attempts that were given up for their silence.
 };
 
 /// The state of the entry duty.
@@ -293,6 +307,7 @@
             attemptsPerTarget; ///< This node's attempts in flight at each target.
     std::map<TargetId, std::uint32_t>
             reportedWaiting; ///< Requests queued at each target, as it last reported.
+    std::map<TargetId, Duration> eventPauses; ///< Smoothed time between events at each target.
     Permits permits;
     StreamOrigins streamOrigins;
     Time nextSweepAt{}; ///< Of the store's expired origins.
@@ -307,7 +322,8 @@
 
 /// Handles one event and returns the actions to perform.
 /// Invariants: a request that must not be repeated is never in flight at two targets, and is not
-/// retried after an attempt that may have run; a request is refused only if no attempt has run.
+/// retried after an attempt that may have run; a request is refused only if no attempt has run; a
+/// stream whose head was sent ends with `EndStream`, as complete only after its last event.
 /// Complexity: linear in targets.
 std::vector<EntryAction> step(EntryState &state, const EntryEvent &event, Time now);
 
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -1,5 +1,8 @@
 #include "batch_context.hpp"
 
+#include <geraniumpulley/core/event_sequence.hpp>
+#include <geraniumpulley/core/silence_limit.hpp>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -85,7 +88,8 @@
     ItemState &item = batch.items[index];
     const OperationId run = context.state.nextOperation;
     context.state.nextOperation = next(run);
-    ++context.state.engines[engine.target.id].activeRuns;
+    EngineStatus &status = context.state.engines[engine.target.id];
+    ++status.activeRuns;
     if (context.state.runs.empty())
         context.state.nextSlowRunCheckAt = context.now + context.state.settings.slowRunCheckPeriod;
     RunRecord record;
@@ -95,14 +99,16 @@
     record.software = engine.software;
     record.startedAt = context.now;
     record.lastEventAt = context.now;
+    record.silenceLimit = silenceLimit(context.state.settings.minSilenceLimit, status.eventInterval,
+                                       item.silentRuns);
     record.resumedAfterEventId = item.lastEventId;
     context.state.runs.emplace(run, record);
     const Duration timeout = route.giveUpAfter > Duration{} ? route.giveUpAfter : defaultTimeout;
     const std::uint32_t urgency =
             item.nextRunCause == RunCause::First ? defaultUrgency : resumedUrgency;
-    context.actions.emplace_back(StartRun{run, engine.target, engine.software, batch.head.id,
-                                          batch.spec, index, item.lastEventId, urgency,
-                                          batch.submittedAt + timeout, item.nextRunCause});
+    context.actions.emplace_back(StartRun{
+            run, engine.target, engine.software, batch.head.id, batch.spec, index, item.lastEventId,
+            urgency, batch.submittedAt + timeout, item.nextRunCause, record.silenceLimit});
     item.phase = ItemPhase::Running;
     item.run = run;
     item.lastTarget = engine.target.id;
@@ -316,13 +322,16 @@
 void onRunEventReceived(BatchContext &context, const RunEventReceived &event)
 {
     const FoundRun found = findRun(context, event.run);
-    if (found.record == nullptr || event.eventId <= found.item->lastEventId)
+    if (found.record == nullptr)
+        return;
+    const EventPlace place = placeOf(event.eventId, found.item->lastEventId);
+    if (place == EventPlace::Repeated)
         return;
     if (event.version && !recordVersion(context, event.run, *event.version))
         return;
     ItemState &item = *found.item;
     // Each event needs a known weight version, and a gap would lose a part of the text.
-    if (!found.record->hasVersion || event.eventId != item.lastEventId + 1)
+    if (!found.record->hasVersion || place != EventPlace::Next)
         return cancelAndRequeue(context, event.run, RunCause::AfterLoss,
                                 context.state.settings.failureBackoff);
     // An engine that does not end a text must not fill the memory.
@@ -332,6 +341,9 @@
                                 context.state.settings.failureBackoff);
     }
     recordEventInterval(context, *found.record);
+    // A run that brings one event only may have stalled behind it.
+    if (found.record->receivedEvents > 1)
+        item.silentRuns = 0;
     if (item.lastEventId == 0)
         item.software = found.record->software;
     else
@@ -374,6 +386,8 @@
             return finishText(context, batch, record.itemIndex);
         return requeueItem(item, RunCause::AfterLoss, context.now);
     case RunEnd::Broken:
+        if (context.now - record.lastEventAt >= record.silenceLimit)
+            ++item.silentRuns;
         if (record.receivedEvents == 0)
             engine.notBefore = context.now + settings.failureBackoff;
         return requeueItem(item, RunCause::AfterLoss, context.now);
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -33,6 +33,7 @@
     /// Whether the length of the response was known from its framing. A response that ends with its
     /// connection may be truncated.
     bool isSelfDelimited = true;
+    bool isDeliveredInParts = false; ///< The body was passed to `HttpRequest::onBodyPart`.
 };
 
 /// The status and headers of a response whose body is delivered in parts.
@@ -53,17 +54,22 @@
     std::string target;
     std::string contentType;
     std::string body;
-    std::string requestId; ///< Sent as `idHeader`; a response with another id is `AnswerLost`.
+    /// Sent as `idHeader`. A response with another id is `AnswerLost`, and so is one without an id
+    /// on a reused connection.
+    std::string requestId;
     core::Time deadline{};
     /// Called exactly once, on the client's thread, unless the client is stopped first. May block
     /// on a ring that its duty drains.
     std::function<void(HttpResult &&)> done;
     /// When set, receives the body of a response with status 200 in parts as they arrive, before
     /// `done`, whose result then has no body. The parts are not stored, so that the body may have
-    /// any length.
-    std::function<void(std::string &&)> onBodyPart = {};
-    /// When set together with `onBodyPart`, receives the status and headers of a response with
-    /// status 200.
+    /// any length. \return whether the part is progress, which starts the read timeout again.
+    std::function<bool(std::string &&)> onBodyPart = {};
+    /// The media type of the responses whose body is delivered in parts; if empty, any. The body of
+    /// a response with another type is stored, up to a limit.
+    std::string bodyPartType = {};
+    /// When set together with `onBodyPart`, receives the status and headers of a response whose
+    /// body is delivered in parts.
     std::function<void(HttpResponseHead &&)> onResponseHead = {};
     std::vector<core::HttpHeader> headers = {};
     std::string idHeader = "X-Request-Id";
@@ -72,8 +78,8 @@
     bool reuseConnection = false;
     /// Time limit for opening the connection. If it is 0, only the deadline applies.
     core::Duration connectTimeout{};
-    /// Time limit for the response, or for each part of it if `onBodyPart` is set. If it is 0, only
-    /// the deadline applies.
+    /// Time limit for the response, or for each progress of it if `onBodyPart` is set: its head,
+    /// then the parts that `onBodyPart` calls so. If it is 0, only the deadline applies.
     core::Duration readTimeout{};
     CancelKey cancelKey{}; ///< Identifies the request for `HttpClient::cancel`.
 };
