--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the packages that a fresh Debian 12 lacks. DEVELOPERS.md lists the same libraries.
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy clang-tools curl
-  libboost-dev libcpprest-dev libssl-dev libnghttp2-dev libmsgpack-cxx-dev libcxxopts-dev libfmt-dev
+  libboost-dev libcpprest-dev libssl-dev libnghttp2-dev libmsgpack-cxx-dev rapidjson-dev libcxxopts-dev libfmt-dev
   gnuplot-nox libxxhash-dev doctest-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
