HTTP server: cut off no request that arrives while a node stops

It could happen here: the daemons waited until no response was pending and then stopped the server's thread, while connections stayed open and the listener accepted. A request read in between was accepted and never answered; one that lay in a connection the thread had not accepted yet was reset with the listener.

Change: drain() accepts what the kernel has queued, closes the listener and each connection without a byte of a request, and waits for the rest. It replaces waitForPendingResponses in both daemons.

--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -220,8 +220,8 @@
     // New connections arrive until the load balancer has seen the failed checks.
     runtime::Latch neverSet;
     neverSet.waitFor(std::max(core::Duration{}, start + loadBalancerDelay - runtime::now()));
-    const bool written = parts.callerServer->waitForPendingResponses(
-            std::max(core::Duration{}, deadline - runtime::now()));
+    const bool written =
+            parts.callerServer->drain(std::max(core::Duration{}, deadline - runtime::now()));
     parts.logger.write("drained", field("handed_over", handedOver), field("written", written));
     return handedOver && written;
 }
--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -120,9 +120,10 @@
     /// From now on, closes each connection after its next response. Thread-safe.
     void disableKeepAlive();
 
-    /// Waits until the responses of all accepted requests have been written or given up.
-    /// \return false when that takes longer than `timeout`.
-    bool waitForPendingResponses(core::Duration timeout);
+    /// Accepts no further connection, closes those without a request, and waits until the requests
+    /// that have begun to arrive are answered and their connections closed.
+    /// \return whether no answer is owed any more when it returns, after `timeout` at the latest.
+    bool drain(core::Duration timeout);
 
     /// \return the number of responses that did not follow the parts sent before them.
     [[nodiscard]] std::uint64_t misplacedResponseCount() const;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <utility>
 #include <variant>
@@ -30,7 +31,10 @@
 // Size of the first read of a request; the rest of the header and the body use the same buffer.
 constexpr std::size_t firstReadBytes = 4096;
 
-using Command = std::variant<ServerResponse, HttpServerLimits>;
+struct BeginDrain
+{
+};
+using Command = std::variant<ServerResponse, HttpServerLimits, BeginDrain>;
 
 constexpr const char *requestIdHeader = "X-Request-Id";
 constexpr const char *queueFullResponseBody = R"({"outcome":"not_run","reason":"queue_full"})";
@@ -60,6 +64,12 @@
     ~Implementation() { this->loop.stop(); }
 
     void accept();
+    void acceptQueued();
+    void open(Tcp::socket socket);
+    void beginDrain();
+    void addSession(Session &session);
+    void removeSession(Session &session);
+    void reportDrained();
     void handle(Command &&command);
     void respond(ServerResponse &&response);
 
@@ -77,12 +87,16 @@
     HttpServerSettings settings;
     RequestHandler handler;
     DisconnectHandler disconnectHandler;
+    std::uint16_t port = 0;
     std::atomic<bool> keepAliveDisabled = false;
     std::atomic<std::uint64_t> misplacedResponses = 0;
     std::mutex mutex;
     std::condition_variable pendingChanged;
     int pendingResponses = 0; // Guarded by `mutex`.
-    std::size_t connections = 0; // This and all members below are used on the loop's thread only.
+    bool drained = false; // Guarded by `mutex`.
+    // This and all members below are used on the loop's thread only.
+    std::set<Session *> sessions;
+    bool draining = false;
     std::size_t bufferedBytes = 0; // Of request bodies without a response yet.
     detail::EventLoop<Command> loop;
     Tcp::acceptor acceptor;
@@ -96,14 +110,14 @@
 public:
     Session(Implementation &server, Tcp::socket socket) : server(server), stream(std::move(socket))
     {
-        ++this->server.connections;
+        this->server.addSession(*this);
         buffer.max_size(server.settings.maxHeaderBytes + server.settings.maxBodyBytes);
     }
 
     ~Session()
     {
         this->releasePending();
-        --this->server.connections;
+        this->server.removeSession(*this);
     }
 
     Session(const Session &) = delete;
@@ -113,10 +127,14 @@
     {
         if (this->buffer.size() > 0)
             return this->readHeader();
+        this->isIdle = true;
         this->stream.expires_after(this->server.settings.idleTimeout);
         this->stream.async_read_some(
                 this->buffer.prepare(firstReadBytes),
                 [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+                    self->isIdle = false;
+                    if (error == asio::error::operation_aborted && self->hasUnreadBytes())
+                        return self->read();
                     if (error)
                         return self->close();
                     self->buffer.commit(size);
@@ -157,6 +175,14 @@
         return response.abortConnection || begins != this->partsBegun;
     }
 
+    // The pending read has possibly taken bytes off the socket already, so it is cancelled, and its
+    // handler closes the connection if no byte has arrived.
+    void closeIfIdle()
+    {
+        if (this->isIdle)
+            this->stream.cancel();
+    }
+
     void breakOff()
     {
         this->releasePending();
@@ -188,6 +214,12 @@
                 });
     }
 
+    [[nodiscard]] bool hasUnreadBytes()
+    {
+        beast::error_code error;
+        return this->stream.socket().available(error) > 0 && !error;
+    }
+
     void writeNextPart()
     {
         ServerResponse &part = this->parts.front();
@@ -378,6 +410,8 @@
         if (error || !this->keepAlive)
             return this->close();
         this->read();
+        if (this->server.draining)
+            this->closeIfIdle();
     }
 
     void close()
@@ -400,6 +434,7 @@
     bool responsePending = false;
     bool partsBegun = false; // The first part of the pending response was accepted.
     bool keepAlive = false;
+    bool isIdle = false; // No byte of a request has been read.
 };
 
 void HttpServer::Implementation::accept()
@@ -407,15 +442,76 @@
     this->acceptor.async_accept([this](boost::system::error_code error, Tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
-        // A connection over the limit is closed at once to bound memory.
-        if (!error && this->connections < this->settings.maxConnections)
-            std::make_shared<Session>(*this, std::move(socket))->read();
-        this->accept();
+        if (!error)
+            this->open(std::move(socket));
+        if (!this->draining)
+            this->accept();
     });
 }
 
+// Accepts the connections that the kernel has established already: closing the listener would reset
+// them together with the requests that they carry.
+void HttpServer::Implementation::acceptQueued()
+{
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(this->loop.context());
+        this->acceptor.accept(socket, error);
+        if (!error)
+            this->open(std::move(socket));
+    }
+}
+
+// A connection over the limit is closed at once to bound memory.
+void HttpServer::Implementation::open(Tcp::socket socket)
+{
+    if (this->sessions.size() >= this->settings.maxConnections)
+        return;
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    session->read();
+    if (this->draining)
+        session->closeIfIdle();
+}
+
+void HttpServer::Implementation::beginDrain()
+{
+    this->draining = true;
+    this->keepAliveDisabled = true;
+    this->acceptQueued();
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (Session *session : this->sessions)
+        session->closeIfIdle();
+    if (this->sessions.empty())
+        this->reportDrained();
+}
+
+void HttpServer::Implementation::addSession(Session &session)
+{
+    this->sessions.insert(&session);
+}
+
+void HttpServer::Implementation::removeSession(Session &session)
+{
+    this->sessions.erase(&session);
+    if (this->draining && this->sessions.empty())
+        this->reportDrained();
+}
+
+void HttpServer::Implementation::reportDrained()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->drained = true;
+    }
+    this->pendingChanged.notify_all();
+}
+
 void HttpServer::Implementation::handle(Command &&command)
 {
+    if (std::holds_alternative<BeginDrain>(command))
+        return this->beginDrain();
     if (const auto *limits = std::get_if<HttpServerLimits>(&command)) {
         this->settings.maxHeaderBytes = limits->maxHeaderBytes;
         this->settings.maxBodyBytes = limits->maxBodyBytes;
@@ -463,6 +559,7 @@
     if (!listening)
         return listening.error();
     Implementation &server = *implementation;
+    server.port = server.acceptor.local_endpoint().port();
     server.accept();
     server.loop.start(settings.name,
                       [&server](Command &&command) { server.handle(std::move(command)); });
@@ -471,7 +568,7 @@
 
 std::uint16_t HttpServer::port() const
 {
-    return this->implementation->acceptor.local_endpoint().port();
+    return this->implementation->port;
 }
 
 void HttpServer::respond(ServerResponse &&response)
@@ -489,12 +586,13 @@
     this->implementation->keepAliveDisabled = true;
 }
 
-bool HttpServer::waitForPendingResponses(core::Duration timeout)
+bool HttpServer::drain(core::Duration timeout)
 {
     Implementation &server = *this->implementation;
+    server.loop.inbox().push(BeginDrain{});
     std::unique_lock lock(server.mutex);
-    return server.pendingChanged.wait_for(lock, timeout,
-                                          [&server] { return server.pendingResponses == 0; });
+    server.pendingChanged.wait_for(lock, timeout, [&server] { return server.drained; });
+    return server.pendingResponses == 0;
 }
 
 std::uint64_t HttpServer::misplacedResponseCount() const
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -192,7 +192,7 @@
     const bool callsFinished =
             parts.callsDrained.waitFor(this->implementation->settings.drainTimeout);
     // Answers that have been decided must still be written to their connections.
-    const bool answersWritten = parts.callerServer->waitForPendingResponses(answerFlushTimeout);
+    const bool answersWritten = parts.callerServer->drain(answerFlushTimeout);
     parts.logger.write("drained", field("in_time", callsFinished && answersWritten));
     return callsFinished && answersWritten;
 }
