--- a/packages/net/tests/raw_server.hpp
+++ b/packages/net/tests/raw_server.hpp
@@ -9,14 +9,16 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace geraniumpulley::net::test {
 
-/// A TCP server that reads one request on each connection, writes a prepared response and closes
-/// the connection. The responses are used in order; the last one is repeated.
+/// A TCP server that reads the head of one request on each connection, writes a prepared response
+/// and closes the connection. The responses are used in order, the last one again and again, or
+/// chosen by a function of the request's head.
 class RawServer
 {
 public:
@@ -25,8 +27,17 @@
     {
     }
 
+    using Responder = std::function<std::string(const std::string &requestHead)>;
+
     explicit RawServer(std::vector<std::string> responses)
-        : responses(std::move(responses)),
+        : RawServer([this, responses = std::move(responses)](const std::string &) {
+              return responses[std::min<std::size_t>(this->count, responses.size() - 1)];
+          })
+    {
+    }
+
+    explicit RawServer(Responder responder)
+        : responder(std::move(responder)),
           acceptor(this->io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
           boundPort(this->acceptor.local_endpoint().port()), thread([this] { this->run(); })
     {
@@ -63,15 +74,14 @@
             std::string request;
             boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
                                     error);
-            const std::string &response =
-                    this->responses[std::min<std::size_t>(this->count, this->responses.size() - 1)];
+            const std::string response = this->responder(request);
             if (!error)
                 ++this->count;
             boost::asio::write(socket, boost::asio::buffer(response), error);
         }
     }
 
-    std::vector<std::string> responses;
+    Responder responder;
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor acceptor;
     std::uint16_t boundPort;
