--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -2,9 +2,12 @@
 
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/configuration_text.hpp>
+#include <geraniumpulley/codec/engine_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/permit_messages.hpp>
+#include <geraniumpulley/codec/platform_messages.hpp>
 #include <geraniumpulley/codec/row_messages.hpp>
+#include <geraniumpulley/codec/step_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
 #include <geraniumpulley/codec/trainer_messages.hpp>
 
@@ -45,6 +48,25 @@
     static_cast<void>(codec::decodeRelayedReply(bytes));
     static_cast<void>(codec::decodePermitRequest(bytes));
     static_cast<void>(codec::decodePermitGrant(bytes));
+    static_cast<void>(codec::decodeDocumentRequest(bytes));
+    static_cast<void>(codec::decodePatch(bytes));
+    static_cast<void>(codec::decodeAcknowledgement(bytes));
+    static_cast<void>(codec::decodeSamples(bytes, {}));
+    static_cast<void>(codec::decodeStepIndex(bytes));
+    static_cast<void>(codec::decodeStepRecord(bytes, {}));
+    static_cast<void>(codec::decodeVersionRow(bytes));
+    static_cast<void>(codec::decodeConfigurationRow(bytes));
+    static_cast<void>(codec::decodeLeaseRecord(bytes));
+    static_cast<void>(codec::decodeFenceRows({{"fence/1", bytes, 1}, {bytes, "", 1}}));
+    static_cast<void>(codec::decodeLoadReport(bytes, {"e"}));
+    static_cast<void>(codec::decodeWeightOrderAnswer(200, bytes, core::WeightVersion{3}));
+    static_cast<void>(codec::decodeWeightOrderAnswer(409, bytes, core::WeightVersion{3}));
+    static_cast<void>(codec::decodeWeightsRow(bytes));
+    static_cast<void>(codec::decodeClaimRow(bytes, "g"));
+    static_cast<void>(codec::decodeEngineReports(bytes));
+    static_cast<void>(codec::decodeDesiredWeights(bytes));
+    codec::GenerationStream stream;
+    static_cast<void>(codec::decodeGenerationBytes(stream, bytes));
 }
 
 } // namespace
@@ -77,6 +99,15 @@
             codec::encodeRelay(codec::RelayedReply{codec::RelayOutcome::Answered, 200, "b"}),
             codec::encodePermits(core::PermitRequest{{"t"}, "n/calls", {2.5}, 3}),
             codec::encodePermits(core::PermitGrant{1, core::Duration(5), core::Duration(9)}),
+            codec::encodePeer(std::vector<core::EngineReport>(2)),
+            codec::encodePeer(core::DesiredWeightsReceived{}),
+            codec::encodePeer(core::Announcement{}),
+            codec::encodePeer(core::ConfigurationDocument{}),
+            codec::encodePeer(core::StepRequest{}),
+            codec::encodePeer(core::StepAnswer{}),
+            codec::encodeSamples({{core::SampleSlot{}, core::Sample{}}}),
+            R"({"running":3,"waiting":1,"slots":8,"version":4,"incarnation":9,"loading":false})",
+            R"({"digest":"d","desired":7,"version":7,"model":"m","key":"k","value":"v"})",
     };
     constexpr std::uint64_t seedCount = 20'000;
     for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
