Tell trainers which items of a batch are missing, and where they are held up

GET /v1/batches/BATCH/progress, at any node: for each item that is not listed its state, engine, data centre, cause and age.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch.hpp>
+#include <geraniumpulley/core/batch/batch_progress.hpp>
 #include <geraniumpulley/core/batch/batch_state.hpp>
 #include <geraniumpulley/core/entry/entry.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
@@ -46,6 +47,13 @@
     BatchId batch;
     ItemId item;
 };
+/// A trainer asks what an unfinished batch waits for.
+struct BatchProgressRequested
+{
+    ReplyToken reply{};
+    BatchId batch;
+    bool isForwarded = false; ///< Another node, which does not own the batch, forwards the request.
+};
 /// A trainer ends a batch.
 struct BatchEndRequested
 {
@@ -152,11 +160,12 @@
 {
 };
 
-using BatchEvent = std::variant<BatchSubmissionReceived, ResultsRequested, ItemBodyRequested,
-                                BatchEndRequested, RequesterDisconnected, RunHeadReceived,
-                                RunEventReceived, RunEnded, ScoreCompleted, SubmissionStored,
-                                ResultsStored, HeadStored, BatchLoaded, ResultsRead,
-                                BatchDirectoryChanged, BatchDraining, BatchTick, PermitsReceived>;
+using BatchEvent =
+        std::variant<BatchSubmissionReceived, ResultsRequested, ItemBodyRequested,
+                     BatchProgressRequested, BatchEndRequested, RequesterDisconnected,
+                     RunHeadReceived, RunEventReceived, RunEnded, ScoreCompleted, SubmissionStored,
+                     ResultsStored, HeadStored, BatchLoaded, ResultsRead, BatchDirectoryChanged,
+                     BatchDraining, BatchTick, PermitsReceived>;
 
 // Actions
 
@@ -254,6 +263,22 @@
     ReadVerdict verdict = ReadVerdict::StoreUnavailable;
     std::string body;
 };
+/// Answers a request for the progress of a batch.
+struct AnswerBatchProgress
+{
+    ReplyToken reply{};
+    BatchId batch;
+    ReadVerdict verdict = ReadVerdict::StoreUnavailable;
+    BatchProgress progress;
+    bool isForwarded = false; ///< The reply goes to another node.
+};
+/// Forwards a request for the progress of a batch to its owner.
+struct ForwardProgressRequest
+{
+    ReplyToken reply{};
+    BatchId batch;
+    std::string address; ///< Of the owner's peer listener.
+};
 /// Answers a request to end a batch.
 struct AnswerBatchEnd
 {
@@ -281,8 +306,8 @@
 using BatchAction =
         std::variant<StoreSubmission, StoreResults, StoreHead, LoadBatch, ReadResults, RemoveBatch,
                      StartRun, CancelRun, ScoreRequested, AnswerBatchSubmission, AnswerResults,
-                     AnswerItemBody, AnswerBatchEnd, OwnershipChanged, BatchesDrained,
-                     RateLimitChanged, RequestPermits>;
+                     AnswerItemBody, AnswerBatchProgress, ForwardProgressRequest, AnswerBatchEnd,
+                     OwnershipChanged, BatchesDrained, RateLimitChanged, RequestPermits>;
 
 /// \return the state of a node without a directory, which answers submissions with
 /// `StoreUnavailable`.
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -32,6 +32,10 @@
 /// have taken them over.
 bool isOwnershipValid(const BatchContext &context);
 
+// batch_progress.cpp
+
+void onBatchProgressRequested(BatchContext &context, const BatchProgressRequested &event);
+
 // batch_ends.cpp
 
 void onBatchEndRequested(BatchContext &context, const BatchEndRequested &event);
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -20,6 +20,10 @@
     }
     void operator()(const ResultsRequested &event) { onResultsRequested(this->context, event); }
     void operator()(const ItemBodyRequested &event) { onItemBodyRequested(this->context, event); }
+    void operator()(const BatchProgressRequested &event)
+    {
+        onBatchProgressRequested(this->context, event);
+    }
     void operator()(const BatchEndRequested &event) { onBatchEndRequested(this->context, event); }
     void operator()(const RequesterDisconnected &event)
     {
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -1,7 +1,10 @@
 #include "batch_store.hpp"
 #include "duties.hpp"
+#include "peer_paths.hpp"
 #include "permit_link.hpp"
 
+#include <geraniumpulley/codec/progress_messages.hpp>
+#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -16,25 +19,8 @@
 using runtime::field;
 
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(400);
-
-const char *nameOf(core::RunCause cause)
-{
-    switch (cause) {
-    case core::RunCause::First:
-        return "first";
-    case core::RunCause::AfterLoss:
-        return "after_loss";
-    case core::RunCause::AfterRefusal:
-        return "after_refusal";
-    case core::RunCause::AfterFailure:
-        return "after_failure";
-    case core::RunCause::Moved:
-        return "moved";
-    case core::RunCause::TakenOver:
-        return "taken_over";
-    }
-    return "unknown";
-}
+// How long the owner of a batch is asked for its progress.
+constexpr core::Duration progressTimeout = std::chrono::milliseconds(1000);
 
 const char *nameOf(core::OwnershipChange change)
 {
@@ -93,7 +79,7 @@
         this->parts.logger.write(
                 "run_started", field("item", item), field("batch", run.batch.value),
                 field("target", run.target.id.value), field("software", run.software.value),
-                field("after", run.lastEventId), field("cause", nameOf(run.cause)));
+                field("after", run.lastEventId), field("cause", codec::nameOf(run.cause)));
         net::HttpRequest request = platform::encodeRun(run, runtime::now());
         request.deadline = run.deadline;
         request.connectTimeout = connectTimeout;
@@ -179,6 +165,33 @@
         this->parts.callerServer->respond(platform::encodeAnswer(std::move(answer)));
     }
 
+    void perform(core::AnswerBatchProgress &&answer)
+    {
+        std::string progress = answer.verdict == core::ReadVerdict::Found
+                                       ? codec::encodeProgress(answer.batch, answer.progress)
+                                       : std::string();
+        if (answer.isForwarded)
+            return this->parts.peerLink->reply(answer.reply, std::move(progress));
+        this->parts.callerServer->respond(
+                platform::encodeProgressAnswer(answer.reply, answer.verdict, std::move(progress)));
+    }
+
+    void perform(core::ForwardProgressRequest &&request)
+    {
+        this->parts.peerLink->send(
+                {std::move(request.address), progressPath, request.batch.value,
+                 runtime::now() + progressTimeout,
+                 [this, token = request.reply](net::PeerReply &&reply) {
+                     const bool isAnswered =
+                             reply.failure == net::SendFailure::None && !reply.body.empty();
+                     this->parts.callerServer->respond(platform::encodeProgressAnswer(
+                             token,
+                             isAnswered ? core::ReadVerdict::Found
+                                        : core::ReadVerdict::StoreUnavailable,
+                             std::move(reply.body)));
+                 }});
+    }
+
     void perform(core::AnswerBatchEnd &&answer)
     {
         this->parts.logger.write("batch_end_answered", field("batch", answer.batch.value),
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -74,6 +74,11 @@
     const bool isSubmission = route != nullptr && route->kind == core::RouteKind::Batch;
     if (isSubmission && request.method == "POST")
         return routeSubmission(parts, std::move(request));
+    if (route == nullptr) {
+        if (auto batch = platform::decodeProgressRequest(request))
+            return parts.batches.inbox().tryPush(
+                    core::BatchProgressRequested{request.token, std::move(*batch), false});
+    }
     const core::ReplyToken token = request.token;
     return parts.calls.inbox().tryPush(
             core::EntryCallReceived{token, platform::decodeEntryCall(std::move(request))});
@@ -98,6 +103,9 @@
         replyToPermitRequest(parts, message);
         return true;
     }
+    if (message.path == progressPath)
+        return parts.batches.inbox().tryPush(
+                core::BatchProgressRequested{message.token, {message.body}, true});
     if (message.path != tablesPath)
         return false;
     parts.peerLink->reply(message.token, codec::encodeRowCopies(parts.tables.allRows()));
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -246,6 +246,29 @@
     CHECK(fleet.call("node-d", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status == 503);
 }
 
+TEST_CASE("on the platform any node tells what the missing items of a batch wait for")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    for (const char *engine : {"engine-1", "engine-2"})
+        fleet.configureWorker(engine, R"({"events": 2000})");
+    REQUIRE(submit(fleet, "node-a", "b1"));
+    for (const std::string &node : fleet.nodes) {
+        HttpReply reply;
+        REQUIRE(fleet.waitFor([&] {
+            reply = fleet.call(node, "GET", "/v1/batches/b1/progress");
+            return reply.status == 200 && reply.body.find("\"running\"") != std::string::npos;
+        }));
+        const web::json::value progress = web::json::value::parse(reply.body);
+        CHECK(progress.at("total").as_integer() == static_cast<int>(batchItemCount));
+        REQUIRE(progress.at("groups").size() == 2);
+        const web::json::value &item = progress.at("groups").at(0).at("items").at(0);
+        CHECK(item.at("data_centre").as_string() == "zone");
+        CHECK(item.at("target").as_string().starts_with("engine-"));
+    }
+    CHECK(fleet.call("node-b", "GET", "/v1/batches/none/progress").status == 404);
+}
+
 // What has been withdrawn or has left shortly before an outage must not come back with a restart.
 TEST_CASE(
         "on the platform a node that restarts without the store uses nothing that has been removed")
