Soak: answers cut, trickled and repeated, refused requests, and clients' streams

What the reports of operators describe: a worker's answer breaks off, arrives byte by byte or comes a second time late, a run that is taken up is refused. A reader of streams checks that what arrives is the beginning of the text, and all of it where the stream ends as complete.

--- a/tests/soak/client_history.cpp
+++ b/tests/soak/client_history.cpp
@@ -6,6 +6,19 @@
 #include <set>
 
 namespace soak {
+namespace {
+
+std::uint64_t eventCount(const std::string &item)
+{
+    constexpr std::uint64_t minEventCount = 4;
+    constexpr std::uint64_t eventCountRange = 9;
+    std::uint64_t sum = 0;
+    for (const char character : item)
+        sum += static_cast<unsigned char>(character);
+    return minEventCount + sum % eventCountRange;
+}
+
+} // namespace
 
 void ClientHistory::recordCall(const UnsafeCall &call)
 {
@@ -68,17 +81,20 @@
 
 std::string expectedText(const std::string &item)
 {
-    constexpr std::uint64_t minEventCount = 4;
-    constexpr std::uint64_t eventCountRange = 9;
-    std::uint64_t sum = 0;
-    for (const char character : item)
-        sum += static_cast<unsigned char>(character);
     std::string text;
-    for (std::uint64_t i = 1; i <= minEventCount + sum % eventCountRange; ++i)
+    for (std::uint64_t i = 1; i <= eventCount(item); ++i)
         text += fmt::format("{}{}:{}", i == 1 ? "" : "\n", item, i);
     return text;
 }
 
+std::string expectedStream(const std::string &item)
+{
+    std::string stream;
+    for (std::uint64_t i = 1; i <= eventCount(item); ++i)
+        stream += fmt::format("id: {}\ndata: {}:{}\n\n", i, item, i);
+    return stream;
+}
+
 std::vector<std::string> mergeResults(ReceivedBatch &batch, std::uint64_t firstPosition,
                                       const std::vector<std::string> &results)
 {
--- a/tests/soak/client_history.hpp
+++ b/tests/soak/client_history.hpp
@@ -47,6 +47,8 @@
 
 /// \return the text that a stand-in engine generates for an item.
 std::string expectedText(const std::string &item);
+/// \return the stream of events with which a stand-in engine sends that text.
+std::string expectedStream(const std::string &item);
 
 /// The results of a batch that its trainer has read.
 struct ReceivedBatch
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -32,11 +32,30 @@
         return LinkFault::StalledToServer;
     case FaultKind::RefuseConnections:
         return LinkFault::Refusing;
+    case FaultKind::CutAnswers:
+        return LinkFault::CuttingAnswers;
+    case FaultKind::TrickleAnswers:
+        return LinkFault::TricklingAnswers;
+    case FaultKind::RepeatAnswers:
+        return LinkFault::RepeatingAnswers;
     default:
         return std::nullopt;
     }
 }
 
+geraniumpulley::net::HttpRequest makePost(const std::string &address, const std::string &target,
+                                          std::string body)
+{
+    geraniumpulley::net::HttpRequest request;
+    request.address = address;
+    request.method = "POST";
+    request.target = target;
+    request.contentType = "application/json";
+    request.body = std::move(body);
+    request.deadline = now() + writeTimeout;
+    return request;
+}
+
 } // namespace
 
 Injector::Injector(live::PlatformFleet &fleet, Proxies &proxies, Load &load, ClientHistory &history)
@@ -85,6 +104,8 @@
         return this->changeRouting();
     case FaultKind::PublishWeights:
         return this->publishWeights();
+    case FaultKind::RefuseRequests:
+        return this->refuseRequests(fault.subject);
     default:
         return this->fleet.process(fault.subject).signal(SIGSTOP);
     }
@@ -149,17 +170,21 @@
                    fmt::format(R"({{"model":"m","version":{}}})", this->weightVersion));
 }
 
+// The next requests at a worker are refused, those that take a stream up among them.
+void Injector::refuseRequests(const std::string &worker)
+{
+    geraniumpulley::net::HttpRequest request =
+            makePost(this->fleet.addresses.at(worker), "/_worker", R"({"refusals": 5})");
+    request.done = [](geraniumpulley::net::HttpResult &&) {};
+    this->operatorCaller->send(std::move(request));
+}
+
 // Does not wait for the answer, because another fault may have frozen the store.
 void Injector::writeRow(const std::string &key, const std::string &content)
 {
     this->writeInFlight = true;
-    geraniumpulley::net::HttpRequest request;
-    request.address = this->storeAddress;
-    request.method = "POST";
-    request.target = "/-/rows-tx";
-    request.contentType = "application/json";
-    request.body = live::makeRowTransaction("op", key, content);
-    request.deadline = now() + writeTimeout;
+    geraniumpulley::net::HttpRequest request = makePost(
+            this->storeAddress, "/-/rows-tx", live::makeRowTransaction("op", key, content));
     request.done = [this](geraniumpulley::net::HttpResult &&result) {
         const bool isWritten = result.failure == geraniumpulley::net::SendFailure::None;
         this->history.incrementCounter(isWritten ? "rows_written" : "rows_not_written");
--- a/tests/soak/injector.hpp
+++ b/tests/soak/injector.hpp
@@ -37,6 +37,7 @@
     void recordExit(const std::string &node, int status);
     void changeRouting();
     void publishWeights();
+    void refuseRequests(const std::string &worker);
     void writeRow(const std::string &key, const std::string &content);
 
     live::PlatformFleet &fleet;
--- a/tests/soak/load.cpp
+++ b/tests/soak/load.cpp
@@ -22,6 +22,7 @@
 
 constexpr const char *host = "site.example";
 constexpr milliseconds callTimeout(3000); // Above the routes' timeout of 2 s.
+constexpr milliseconds streamTimeout(25000); // Above the route's timeout of 20 s.
 constexpr milliseconds batchTimeout(7000); // Above the timeout of the nodes for the store.
 constexpr milliseconds callerDelay(10);
 constexpr milliseconds trainerDelay(50);
@@ -85,6 +86,8 @@
         this->threads.emplace_back([this, i] { this->runCaller(i); });
     for (std::size_t i = 0; i < this->settings.trainerCount; ++i)
         this->threads.emplace_back([this, i] { this->runTrainer(i); });
+    for (std::size_t i = 0; i < this->settings.streamReaderCount; ++i)
+        this->threads.emplace_back([this, i] { this->runStreamReader(i); });
 }
 
 Load::~Load()
@@ -144,6 +147,41 @@
     }
 }
 
+// Reads one stream of events after the other. What arrives is the beginning of the text that an
+// engine generates, and all of it if the stream ends as complete.
+void Load::runStreamReader(std::size_t index)
+{
+    constexpr std::uint64_t readerSeedOffset = 700; // Keeps the random seeds distinct.
+    Client client(this->settings.seed * 1000 + readerSeedOffset + index);
+    for (std::uint64_t i = 0; !this->isStopping(); ++i) {
+        const auto &nodeAddresses = this->settings.nodeAddresses;
+        const std::string id = fmt::format("s{}-{}", index, i);
+        const auto received = std::make_shared<std::string>();
+        net::HttpRequest request;
+        request.address = nodeAddresses[client.randomBelow(nodeAddresses.size())];
+        request.method = "POST";
+        request.target = "/chat/" + id;
+        request.requestId = id;
+        request.bodyPartType = "text/event-stream";
+        request.onBodyPart = [received](std::string &&part) {
+            *received += part;
+            return true;
+        };
+        const net::HttpResult result = client.sendAndWait(std::move(request), streamTimeout);
+        const std::uint32_t status = statusOf(result);
+        this->history.incrementCounter(fmt::format("stream_{}", status));
+        const std::string expected = expectedStream(id);
+        const bool isWhole = status == 200 && result.isSelfDelimited;
+        if (!isAllowedStatus(status))
+            this->history.recordViolation(
+                    fmt::format("stream {} was answered with status {}", id, status));
+        if (!expected.starts_with(*received) || (isWhole && *received != expected))
+            this->history.recordViolation(fmt::format("stream {} brought '{}'{}", id, *received,
+                                                      isWhole ? " and ended as complete" : ""));
+        this->pause(callerDelay);
+    }
+}
+
 // Submits, reads and ends one batch after the other, as a trainer does.
 struct Load::Trainer
 {
--- a/tests/soak/load.hpp
+++ b/tests/soak/load.hpp
@@ -22,6 +22,7 @@
     std::uint64_t seed = 1;
     std::size_t callerCount = 2;
     std::size_t trainerCount = 2;
+    std::size_t streamReaderCount = 1;
 };
 
 /// Generates load. Each caller and each trainer has a thread of its own.
@@ -45,6 +46,7 @@
 
     void runCaller(std::size_t index);
     void runTrainer(std::size_t index);
+    void runStreamReader(std::size_t index);
     bool isStopping() const { return this->stopping; }
     bool isPastDeadline() const;
     /// Waits for a duration. A call of `finish()` ends the wait early.
--- a/tests/soak/proxies.cpp
+++ b/tests/soak/proxies.cpp
@@ -15,6 +15,8 @@
 constexpr auto forwardingDelay = std::chrono::milliseconds(40);
 // How often stalled data is checked for the end of the fault.
 constexpr auto stallCheckPeriod = std::chrono::milliseconds(20);
+constexpr auto tricklePeriod = std::chrono::milliseconds(100);
+constexpr auto repeatDelay = std::chrono::milliseconds(30);
 
 tcp::endpoint parse(const std::string &address)
 {
@@ -111,7 +113,7 @@
     {
         const bool isDelayed = isFirstCheck && this->link->fault == LinkFault::Delayed;
         if (!isDelayed && !this->isStalled(direction))
-            return this->write(direction, bytes);
+            return this->write(direction, 0, bytes);
         auto &timer = this->delayTimers.at(static_cast<std::size_t>(direction));
         timer.expires_after(isDelayed ? forwardingDelay : stallCheckPeriod);
         timer.async_wait(
@@ -121,24 +123,74 @@
                 });
     }
 
-    void write(Direction direction, std::size_t bytes)
+    bool hasAnswerFault(Direction direction, LinkFault fault) const
     {
+        return direction == Direction::ToClient && this->link->fault == fault;
+    }
+
+    // Writes the bytes of the buffer from `first` to `last`.
+    void write(Direction direction, std::size_t first, std::size_t last)
+    {
+        const bool isCut = this->hasAnswerFault(direction, LinkFault::CuttingAnswers);
+        const bool isTrickled = this->hasAnswerFault(direction, LinkFault::TricklingAnswers);
+        std::size_t end = last;
+        if (isCut)
+            end = first + (last - first) / 2;
+        else if (isTrickled)
+            end = first + 1;
         auto &destination = direction == Direction::ToServer ? this->server : this->client;
         auto &buffer = this->buffers.at(static_cast<std::size_t>(direction));
-        boost::asio::async_write(
-                destination, boost::asio::buffer(buffer, bytes),
-                [self = this->shared_from_this(), direction](const ErrorCode &error, std::size_t) {
-                    if (error)
-                        return self->abort();
-                    self->read(direction);
+        boost::asio::async_write(destination,
+                                 boost::asio::buffer(buffer.data() + first, end - first),
+                                 [self = this->shared_from_this(), direction, end, last,
+                                  isCut](const ErrorCode &error, std::size_t) {
+                                     if (error)
+                                         return self->abort();
+                                     if (isCut)
+                                         return self->close();
+                                     self->onWritten(direction, end, last);
+                                 });
+    }
+
+    void onWritten(Direction direction, std::size_t written, std::size_t last)
+    {
+        if (written < last)
+            return this->writeLater(direction, written, last, tricklePeriod);
+        const bool isRepeated = this->hasAnswerFault(direction, LinkFault::RepeatingAnswers)
+                                && !std::exchange(this->hasRepeated, true);
+        if (isRepeated)
+            return this->writeLater(direction, 0, last, repeatDelay);
+        this->hasRepeated = false;
+        this->read(direction);
+    }
+
+    void writeLater(Direction direction, std::size_t first, std::size_t last,
+                    std::chrono::milliseconds delay)
+    {
+        auto &timer = this->delayTimers.at(static_cast<std::size_t>(direction));
+        timer.expires_after(delay);
+        timer.async_wait(
+                [self = this->shared_from_this(), direction, first, last](const ErrorCode &error) {
+                    if (!error)
+                        self->write(direction, first, last);
                 });
     }
 
+    // Closes both sides without a reset, as a process that exits does.
+    void close()
+    {
+        ErrorCode ignored;
+        this->client.shutdown(tcp::socket::shutdown_both, ignored);
+        this->client.close(ignored);
+        this->server.close(ignored);
+    }
+
     std::shared_ptr<Link> link;
     tcp::socket client;
     tcp::socket server;
     std::array<boost::asio::steady_timer, 2> delayTimers;
     std::array<std::array<char, bufferBytes>, 2> buffers{};
+    bool hasRepeated = false; // The bytes in the buffer to the client were sent twice.
 };
 
 namespace {
--- a/tests/soak/proxies.hpp
+++ b/tests/soak/proxies.hpp
@@ -21,6 +21,9 @@
     Stalled, ///< No data is forwarded in either direction until the fault ends.
     StalledToServer, ///< No data is forwarded to the server; its answers still are.
     Refusing, ///< New connections are reset.
+    CuttingAnswers, ///< A part of the server's next bytes is forwarded; then the connection closes.
+    TricklingAnswers, ///< The server's bytes are forwarded one at a time, far apart.
+    RepeatingAnswers, ///< What the server sends is sent a second time, a little later.
 };
 
 struct Link;
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -36,11 +36,23 @@
         {FaultKind::PublishWeights, "name_weights", 2, {}, {}},
 }};
 
+// Faults of workers' answers, drawn apart from the others, so that the others stay the same for a
+// seed.
+constexpr std::array<FaultProfile, 4> answerKinds{{
+        {FaultKind::CutAnswers, "cut_answers", 3, milliseconds(200), milliseconds(1500)},
+        {FaultKind::TrickleAnswers, "trickle_answers", 2, milliseconds(500), milliseconds(4000)},
+        {FaultKind::RepeatAnswers, "repeat_answers", 3, milliseconds(500), milliseconds(3000)},
+        {FaultKind::RefuseRequests, "refuse_requests", 2, {}, {}},
+}};
+
 // Bounds of the random gaps between two bursts and between the faults of one, and of the number of
 // faults in a burst.
 constexpr milliseconds maxBurstGap(1500);
 constexpr milliseconds maxFaultGap(150);
 constexpr unsigned maxBurstFaults = 4;
+constexpr milliseconds maxAnswerFaultGap(2500);
+// Distinguishes the second random sequence of a seed from the first.
+constexpr std::uint64_t answerSeedOffset = 0x9e3779b97f4a7c15;
 
 struct ScheduleRandom
 {
@@ -57,7 +69,8 @@
         return min + Duration(static_cast<Duration::rep>(this->below(span)));
     }
 
-    const FaultProfile &drawKind()
+    template<typename Kinds>
+    const FaultProfile &drawKind(const Kinds &kinds)
     {
         unsigned total = 0;
         for (const FaultProfile &kind : kinds)
@@ -80,6 +93,10 @@
         case FaultKind::HangUpNode:
             return subjects.nodes.at(this->below(subjects.nodes.size()));
         case FaultKind::FreezeWorker:
+        case FaultKind::CutAnswers:
+        case FaultKind::TrickleAnswers:
+        case FaultKind::RepeatAnswers:
+        case FaultKind::RefuseRequests:
             return subjects.workers.at(this->below(subjects.workers.size()));
         case FaultKind::FreezeStore:
             return "store";
@@ -92,6 +109,31 @@
     }
 };
 
+void addAnswerFaults(std::vector<Fault> &faults, std::uint64_t seed, Duration length,
+                     const FaultSubjects &subjects)
+{
+    ScheduleRandom draw{std::mt19937_64(seed + answerSeedOffset)};
+    for (Duration offset = draw.between(Duration{}, maxAnswerFaultGap); offset < length;
+         offset += draw.between(Duration{}, maxAnswerFaultGap)) {
+        const FaultProfile &kind = draw.drawKind(answerKinds);
+        const Duration duration = draw.between(kind.minDuration, kind.maxDuration);
+        faults.push_back({offset, std::min(duration, length - offset), kind.kind,
+                          draw.drawSubject(kind.kind, subjects)});
+    }
+}
+
+const char *nameOf(FaultKind kind)
+{
+    for (const auto *profiles : {kinds.data(), answerKinds.data()}) {
+        const std::size_t count = profiles == kinds.data() ? kinds.size() : answerKinds.size();
+        for (std::size_t i = 0; i < count; ++i) {
+            if (profiles[i].kind == kind)
+                return profiles[i].name;
+        }
+    }
+    return "unknown";
+}
+
 } // namespace
 
 std::vector<Fault> makeSchedule(std::uint64_t seed, Duration length, const FaultSubjects &subjects)
@@ -102,7 +144,7 @@
     while (offset < length) {
         for (std::uint64_t remaining = 1 + draw.below(maxBurstFaults);
              remaining > 0 && offset < length; --remaining) {
-            const FaultProfile &kind = draw.drawKind();
+            const FaultProfile &kind = draw.drawKind(kinds);
             const Duration drawnDuration = draw.between(kind.minDuration, kind.maxDuration);
             faults.push_back({offset, std::min(drawnDuration, length - offset), kind.kind,
                               draw.drawSubject(kind.kind, subjects)});
@@ -110,17 +152,17 @@
         }
         offset += draw.between(Duration{}, maxBurstGap);
     }
+    addAnswerFaults(faults, seed, length, subjects);
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const Fault &a, const Fault &b) { return a.startsAfter < b.startsAfter; });
     return faults;
 }
 
 std::string formatFault(const Fault &fault)
 {
-    const auto kind = std::find_if(kinds.begin(), kinds.end(), [&](const FaultProfile &candidate) {
-        return candidate.kind == fault.kind;
-    });
     return fmt::format("event=fault at_ms={} kind={} subject={} for_ms={}",
                        std::chrono::duration_cast<milliseconds>(fault.startsAfter).count(),
-                       kind->name, fault.subject,
+                       nameOf(fault.kind), fault.subject,
                        std::chrono::duration_cast<milliseconds>(fault.duration).count());
 }
 
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -26,6 +26,10 @@
     ResetLink,
     ChangeRouting, ///< Writes a new version of the routing table.
     PublishWeights, ///< Writes a new desired weight version of the model.
+    CutAnswers, ///< A worker's answers break off.
+    TrickleAnswers, ///< A worker's answers arrive byte by byte, far apart.
+    RepeatAnswers, ///< A second copy of a worker's answer arrives late on its connection.
+    RefuseRequests, ///< A worker refuses its next requests.
 };
 
 /// One fault of a schedule.
