Decode a target's row only when its value has changed

Change: decoded targets are kept by the bytes of their row and shared, so that a heartbeat with an equal value costs the parsing of the reply only, and the core compares pointers.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -47,9 +47,9 @@
     RowVersion version{};
 };
 
-using FleetRecord =
-        std::variant<std::monostate, std::shared_ptr<const RoutingTable>, DesiredModelWeights,
-                     FleetTarget, NodeHeartbeat, BatchHead, WeightOrderLease>;
+using FleetRecord = std::variant<std::monostate, std::shared_ptr<const RoutingTable>,
+                                 DesiredModelWeights, std::shared_ptr<const FleetTarget>,
+                                 NodeHeartbeat, BatchHead, WeightOrderLease>;
 
 struct FleetRow
 {
@@ -181,7 +181,7 @@
 
 struct KnownTarget
 {
-    FleetTarget target;
+    std::shared_ptr<const FleetTarget> target;
     std::optional<Time> missingSince; ///< When its row was first found missing in the table.
 };
 
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -14,12 +14,14 @@
 constexpr const char *leaseRankKey = "weight-orders";
 
 // Changes of routing and batches have to arrive quickly, so their feeds are long polls with hardly
-// any delay between them. Targets change with each heartbeat, so their feed is polled with a delay.
+// any delay between them. Targets change with each heartbeat, so their feed is polled with a delay,
+// at any size shorter than the time in which a target that leaves has to get no more work.
 constexpr FollowerSettings routingFollowerSettings{std::chrono::milliseconds(50),
                                                    std::chrono::milliseconds(1000),
                                                    std::chrono::milliseconds(1200)};
 constexpr FollowerSettings targetsFollowerSettings{std::chrono::milliseconds(400), Duration{},
-                                                   std::chrono::milliseconds(1500)};
+                                                   std::chrono::milliseconds(1500),
+                                                   std::chrono::milliseconds(1400)};
 // A heartbeat is received at most 0.6 s + 0.7 s after the one before: the heartbeat period plus the
 // maximum read delay. This is less than the heartbeat timeout.
 constexpr FollowerSettings nodesFollowerSettings{std::chrono::milliseconds(350), Duration{},
@@ -284,7 +286,7 @@
     {
         auto targets = std::make_shared<TargetMap>();
         for (const auto &[id, known] : this->state.targets)
-            targets->emplace_hint(targets->end(), id, known.target);
+            targets->emplace_hint(targets->end(), id, *known.target);
         return targets;
     }
 
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -12,11 +12,11 @@
     state.targetsChanged = true;
 }
 
-void applyTarget(FleetState &state, const FleetTarget &target)
+void applyTarget(FleetState &state, const std::shared_ptr<const FleetTarget> &target)
 {
-    KnownTarget &known = state.targets[target.target.id];
+    KnownTarget &known = state.targets[target->target.id];
     known.missingSince.reset();
-    if (known.target == target)
+    if (known.target == target || (known.target && *known.target == *target))
         return;
     known.target = target;
     noteTargetsChanged(state);
@@ -63,7 +63,10 @@
         this->state.contentChanged = true;
     }
 
-    void operator()(const FleetTarget &target) { applyTarget(this->state, target); }
+    void operator()(const std::shared_ptr<const FleetTarget> &target)
+    {
+        applyTarget(this->state, target);
+    }
 
     void operator()(const NodeHeartbeat &heartbeat)
     {
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -53,11 +53,21 @@
     }
 };
 
-FleetRow makeTargetRow(const std::string &id, bool leaving = false)
+FleetTarget makeTarget(const std::string &id, bool leaving = false)
 {
     FleetTarget target;
     target.target = {{id}, {"service"}, "a:1", "zone", leaving};
-    return {id, RowVersion{1}, target};
+    return target;
+}
+
+FleetRow makeRow(const FleetTarget &target)
+{
+    return {target.target.id.value, RowVersion{1}, std::make_shared<const FleetTarget>(target)};
+}
+
+FleetRow makeTargetRow(const std::string &id, bool leaving = false)
+{
+    return makeRow(makeTarget(id, leaving));
 }
 
 FleetRow makeRoutingRow(std::uint64_t rowVersion, std::uint64_t version)
@@ -132,9 +142,9 @@
     table->services.push_back({{"service"}, 0, true});
     fixture.read(FleetTable::Routing, true,
                  {{"config", RowVersion{1}, std::shared_ptr<const RoutingTable>(table)}});
-    FleetRow row = makeTargetRow("a");
-    std::get<FleetTarget>(row.record).weights["m"] = WeightVersion{1};
-    fixture.read(FleetTable::Targets, true, {row});
+    FleetTarget engine = makeTarget("a");
+    engine.weights["m"] = WeightVersion{1};
+    fixture.read(FleetTable::Targets, true, {makeRow(engine)});
     CHECK(fixture.state.assignments.assignments.empty());
     fixture.read(FleetTable::Batches, true,
                  {{"weight-orders", RowVersion{2}, makeLease("self", 1, 2)}});
@@ -224,7 +234,7 @@
     fixture.read(FleetTable::Routing, true,
                  {{"config", RowVersion{3}, std::shared_ptr<const RoutingTable>(table)},
                   {"version", RowVersion{4}, DesiredModelWeights{"m", WeightVersion{2}}}});
-    fixture.read(FleetTable::Targets, true, {{"e", RowVersion{1}, engine}});
+    fixture.read(FleetTable::Targets, true, {makeRow(engine)});
     fixture.read(FleetTable::Batches, true, {});
     fixture.confirmHeartbeat(1);
     fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Committed, RowVersion{8}});
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -2,6 +2,7 @@
 #include "peer_paths.hpp"
 #include "range_reader.hpp"
 #include "table_names.hpp"
+#include "target_row_cache.hpp"
 
 #include <geraniumpulley/codec/row_messages.hpp>
 #include <geraniumpulley/core/http_status.hpp>
@@ -68,7 +69,8 @@
     return toRecord(codec::decodeBatchHead({id}, row.value, row.version));
 }
 
-core::Result<core::FleetRecord> decodeRecord(core::FleetTable table, const platform::Row &row)
+core::Result<core::FleetRecord> decodeRecord(core::FleetTable table, const platform::Row &row,
+                                             TargetRowCache &targetRows)
 {
     if (row.removed)
         return core::FleetRecord(std::monostate{});
@@ -76,7 +78,7 @@
     case core::FleetTable::Routing:
         return platform::decodeOperatorRow(row.name.key, row.value);
     case core::FleetTable::Targets:
-        return toRecord(platform::decodeTargetRow(row.name.key, row.value));
+        return toRecord(targetRows.decode(row));
     case core::FleetTable::Nodes:
         return toRecord(codec::decodeHeartbeat(row.value));
     case core::FleetTable::Batches:
@@ -101,6 +103,7 @@
     TickTimer wakeup;
     core::Duration totalSuspended{}; // As of the last event.
     core::ConfigurationVersion appliedRouting{};
+    std::unique_ptr<TargetRowCache> targetRows = std::make_unique<TargetRowCache>();
 
     void handle(const core::FleetEvent &event)
     {
@@ -215,6 +218,8 @@
             this->parts.tables.set(table, rows.rows);
         else
             this->parts.tables.apply(table, rows.rows);
+        if (isFull && table == core::FleetTable::Targets)
+            this->targetRows->retain(rows.rows);
     }
 
     // Runs on a network thread.
@@ -222,7 +227,7 @@
     {
         core::TableReadCompleted read{table, isFull, {}, rows.storeVersion, rows.clock};
         for (const platform::Row &row : rows.rows) {
-            auto record = decodeRecord(table, row);
+            auto record = decodeRecord(table, row, *this->targetRows);
             if (!record)
                 this->parts.metrics.count("rows_unreadable");
             read.rows.push_back(
