--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -22,9 +22,24 @@
   exit 1
 fi
 
-echo "lint: linter on ${#units[@]} sources"
-[ "${#units[@]}" -gt 0 ] || exit 0
-run-clang-tidy -quiet -j "${LINT_JOBS:-$(nproc)}" -p "$build" "${units[@]}" >"$build/lint.log" 2>&1 || {
+# A source is passed over if the linter has found nothing in it before, with the same configuration,
+# command line, source and headers (lint_keys.sh).
+cache=${LINT_CACHE:-$HOME/.cache/geraniumpulley-lint}
+mkdir -p "$cache"
+declare -A keys
+while read -r key unit; do keys[$unit]=$key; done < <(scripts/lint_keys.sh "$build")
+unchecked=()
+for unit in "${units[@]}"; do
+  key=${keys[$unit]:-}
+  if [ -z "$key" ] || [ ! -e "$cache/$key" ]; then unchecked+=("$unit"); fi
+done
+echo "lint: linter on ${#unchecked[@]} of ${#units[@]} sources, the others are known to pass"
+[ "${#unchecked[@]}" -gt 0 ] || exit 0
+run-clang-tidy -quiet -j "${LINT_JOBS:-$(nproc)}" -p "$build" "${unchecked[@]}" >"$build/lint.log" 2>&1 || {
   grep -E 'error:|warning:' "$build/lint.log" | sort -u >&2
   exit 1
 }
+for unit in "${unchecked[@]}"; do
+  key=${keys[$unit]:-}
+  if [ -n "$key" ]; then touch "$cache/$key"; fi
+done
