--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -2,9 +2,9 @@
 #include "duties.hpp"
 #include "peer_paths.hpp"
 #include "permit_link.hpp"
+#include "progress_messages.hpp"
 
 #include <geraniumpulley/codec/progress_messages.hpp>
-#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -173,23 +173,23 @@
         if (answer.isForwarded)
             return this->parts.peerLink->reply(answer.reply, std::move(progress));
         this->parts.callerServer->respond(
-                platform::encodeProgressAnswer(answer.reply, answer.verdict, std::move(progress)));
+                encodeProgressAnswer(answer.reply, answer.verdict, std::move(progress)));
     }
 
     void perform(core::ForwardProgressRequest &&request)
     {
-        this->parts.peerLink->send(
-                {std::move(request.address), progressPath, request.batch.value,
-                 runtime::now() + progressTimeout,
-                 [this, token = request.reply](net::PeerReply &&reply) {
-                     const bool isAnswered =
-                             reply.failure == net::SendFailure::None && !reply.body.empty();
-                     this->parts.callerServer->respond(platform::encodeProgressAnswer(
-                             token,
-                             isAnswered ? core::ReadVerdict::Found
-                                        : core::ReadVerdict::StoreUnavailable,
-                             std::move(reply.body)));
-                 }});
+        this->parts.peerLink->send({std::move(request.address), progressPath, request.batch.value,
+                                    runtime::now() + progressTimeout,
+                                    [this, token = request.reply](net::PeerReply &&reply) {
+                                        const bool isAnswered =
+                                                reply.failure == net::SendFailure::None
+                                                && !reply.body.empty();
+                                        this->parts.callerServer->respond(encodeProgressAnswer(
+                                                token,
+                                                isAnswered ? core::ReadVerdict::Found
+                                                           : core::ReadVerdict::StoreUnavailable,
+                                                std::move(reply.body)));
+                                    }});
     }
 
     void perform(core::AnswerBatchEnd &&answer)
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -3,6 +3,7 @@
 #include "batch_store.hpp"
 #include "peer_paths.hpp"
 #include "permit_link.hpp"
+#include "progress_messages.hpp"
 
 #include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
@@ -75,7 +76,7 @@
     if (isSubmission && request.method == "POST")
         return routeSubmission(parts, std::move(request));
     if (route == nullptr) {
-        if (auto batch = platform::decodeProgressRequest(request))
+        if (auto batch = decodeProgressRequest(request))
             return parts.batches.inbox().tryPush(
                     core::BatchProgressRequested{request.token, std::move(*batch), false});
     }
