Name the parts of a batch's progress by what they hold

A reader of the diff: heldSince was a duration, and HeldFor beside heldFor no reason. The test's expected text follows the order of the names. core, codec and live-platform_progress pass.

--- a/packages/codec/src/progress_messages.cpp
+++ b/packages/codec/src/progress_messages.cpp
@@ -12,32 +12,32 @@
 
 using web::json::value;
 
-const char *stateNameOf(core::HeldFor reason)
+const char *stateNameOf(core::WaitReason reason)
 {
     switch (reason) {
-    case core::HeldFor::Engine:
+    case core::WaitReason::Engine:
         return "waiting_for_engine";
-    case core::HeldFor::Text:
+    case core::WaitReason::Text:
         return "running";
-    case core::HeldFor::Score:
+    case core::WaitReason::Score:
         return "waiting_for_score";
-    case core::HeldFor::Store:
+    case core::WaitReason::Store:
         return "waiting_for_store";
     }
     return "unknown";
 }
 
-value encodeItem(const core::HeldItem &item)
+value encodeItem(const core::MissingItem &item)
 {
-    const auto heldMs = std::chrono::duration_cast<std::chrono::milliseconds>(item.heldSince);
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(item.waitTime);
     value encoded = value::object();
     encoded["id"] = value::string(item.id.value);
-    encoded["state"] = value::string(stateNameOf(item.heldFor));
+    encoded["state"] = value::string(stateNameOf(item.waitsFor));
     encoded["target"] = value::string(item.target.value);
     encoded["data_centre"] = value::string(item.dataCentre);
     encoded["cause"] = value::string(nameOf(item.cause));
     encoded["events"] = value::number(item.events);
-    encoded["held_ms"] = value::number(static_cast<std::int64_t>(heldMs.count()));
+    encoded["wait_ms"] = value::number(static_cast<std::int64_t>(waitMs.count()));
     return encoded;
 }
 
@@ -65,7 +65,7 @@
 std::string encodeProgress(const core::BatchId &batch, const core::BatchProgress &progress)
 {
     std::map<std::string, std::vector<value>> itemsByGroup;
-    for (const core::HeldItem &item : progress.heldItems)
+    for (const core::MissingItem &item : progress.missingItems)
         itemsByGroup[item.group].push_back(encodeItem(item));
     std::vector<value> groups;
     for (auto &[group, items] : itemsByGroup) {
--- a/packages/codec/tests/unit-progress_messages.cpp
+++ b/packages/codec/tests/unit-progress_messages.cpp
@@ -10,20 +10,20 @@
     core::BatchProgress progress;
     progress.itemCount = 3;
     progress.listedCount = 1;
-    progress.heldItems = {
+    progress.missingItems = {
             {{"i1"},
              "g1",
-             core::HeldFor::Text,
+             core::WaitReason::Text,
              {"e1"},
              "dc1",
              core::RunCause::AfterLoss,
              17,
              3400ms},
-            {{"i2"}, "g1", core::HeldFor::Engine, {}, "", core::RunCause::First, 0, 90ms}};
+            {{"i2"}, "g1", core::WaitReason::Engine, {}, "", core::RunCause::First, 0, 90ms}};
     CHECK(codec::encodeProgress({"b"}, progress)
           == R"({"batch":"b","groups":[{"group":"g1","items":[)"
-             R"({"cause":"after_loss","data_centre":"dc1","events":17,"held_ms":3400,"id":"i1",)"
-             R"("state":"running","target":"e1"},)"
-             R"({"cause":"first","data_centre":"","events":0,"held_ms":90,"id":"i2",)"
-             R"("state":"waiting_for_engine","target":""}]}],"listed":1,"total":3})");
+             R"({"cause":"after_loss","data_centre":"dc1","events":17,"id":"i1",)"
+             R"("state":"running","target":"e1","wait_ms":3400},)"
+             R"({"cause":"first","data_centre":"","events":0,"id":"i2",)"
+             R"("state":"waiting_for_engine","target":"","wait_ms":90}]}],"listed":1,"total":3})");
 }
--- a/packages/core/include/geraniumpulley/core/batch/batch_progress.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_progress.hpp
@@ -12,7 +12,7 @@
 namespace geraniumpulley::core {
 
 /// What an item needs before it is listed.
-enum class HeldFor {
+enum class WaitReason {
     Engine, ///< No engine that may run it has a free place.
     Text, ///< An engine generates its text.
     Score, ///< Its text is complete, and its scorer has not answered.
@@ -20,24 +20,24 @@
 };
 
 /// An item that is not listed yet.
-struct HeldItem
+struct MissingItem
 {
     ItemId id;
     std::string group;
-    HeldFor heldFor = HeldFor::Engine;
+    WaitReason waitsFor = WaitReason::Engine;
     TargetId target; ///< The engine of the current or last run; empty before the first one.
     std::string dataCentre; ///< Of that engine; empty if it has left.
     RunCause cause = RunCause::First; ///< Of the current or next run.
     std::uint64_t events = 0; ///< Events of the text so far.
     /// Time since the last event of a running item, or since the item began to wait for an engine.
-    Duration heldSince{};
+    Duration waitTime{};
 };
 
 struct BatchProgress
 {
     std::uint32_t itemCount = 0;
     std::uint32_t listedCount = 0;
-    std::vector<HeldItem> heldItems; ///< In the order of the submission.
+    std::vector<MissingItem> missingItems; ///< In the order of the submission.
 };
 
 /// \return what the items of an owned batch that are not listed yet wait for. Complexity: linear in
--- a/packages/core/src/batch/batch_progress.cpp
+++ b/packages/core/src/batch/batch_progress.cpp
@@ -8,20 +8,20 @@
 namespace geraniumpulley::core {
 namespace {
 
-HeldFor heldForOf(ItemPhase phase)
+WaitReason waitReasonOf(ItemPhase phase)
 {
     switch (phase) {
     case ItemPhase::Waiting:
-        return HeldFor::Engine;
+        return WaitReason::Engine;
     case ItemPhase::Running:
-        return HeldFor::Text;
+        return WaitReason::Text;
     case ItemPhase::Unscored:
     case ItemPhase::Scoring:
-        return HeldFor::Score;
+        return WaitReason::Score;
     case ItemPhase::Finished:
         break;
     }
-    return HeldFor::Store;
+    return WaitReason::Store;
 }
 
 std::string dataCentreOf(const BatchState &state, const TargetId &target)
@@ -33,8 +33,8 @@
                                                        : position->second.target.dataCentre;
 }
 
-Duration heldSince(const BatchState &state, const OwnedBatch &batch, const ItemState &item,
-                   Time now)
+Duration waitTimeOf(const BatchState &state, const OwnedBatch &batch, const ItemState &item,
+                    Time now)
 {
     if (item.phase == ItemPhase::Waiting)
         return now - std::max(item.waitingSince, batch.submittedAt);
@@ -44,20 +44,20 @@
     return now - run->second.lastEventAt;
 }
 
-HeldItem describe(const BatchState &state, const OwnedBatch &batch, std::size_t index, Time now)
+MissingItem describe(const BatchState &state, const OwnedBatch &batch, std::size_t index, Time now)
 {
     const BatchItem &spec = batch.spec->items[index];
     const ItemState &item = batch.items[index];
-    HeldItem held;
-    held.id = spec.id;
-    held.group = spec.group;
-    held.heldFor = heldForOf(item.phase);
-    held.target = item.lastTarget;
-    held.dataCentre = dataCentreOf(state, item.lastTarget);
-    held.cause = item.nextRunCause;
-    held.events = item.lastEventId;
-    held.heldSince = heldSince(state, batch, item, now);
-    return held;
+    MissingItem missing;
+    missing.id = spec.id;
+    missing.group = spec.group;
+    missing.waitsFor = waitReasonOf(item.phase);
+    missing.target = item.lastTarget;
+    missing.dataCentre = dataCentreOf(state, item.lastTarget);
+    missing.cause = item.nextRunCause;
+    missing.events = item.lastEventId;
+    missing.waitTime = waitTimeOf(state, batch, item, now);
+    return missing;
 }
 
 // The owner of a batch that this node does not own, if it is known and not this node.
@@ -82,7 +82,7 @@
         listed.insert(result.id);
     for (std::size_t i = 0; i < batch.items.size(); ++i) {
         if (listed.count(batch.spec->items[i].id) == 0)
-            progress.heldItems.push_back(describe(state, batch, i, now));
+            progress.missingItems.push_back(describe(state, batch, i, now));
     }
     return progress;
 }
--- a/packages/core/tests/batch/unit-batch_progress.cpp
+++ b/packages/core/tests/batch/unit-batch_progress.cpp
@@ -46,14 +46,14 @@
     CHECK(answer->verdict == ReadVerdict::Found);
     CHECK(answer->progress.itemCount == 2);
     CHECK(answer->progress.listedCount == 0);
-    REQUIRE(answer->progress.heldItems.size() == 2);
-    const HeldItem &held = answer->progress.heldItems[run.itemIndex];
-    CHECK(held.heldFor == HeldFor::Text);
-    CHECK(held.target == run.target.id);
-    CHECK(held.dataCentre == run.target.dataCentre);
-    CHECK(held.cause == RunCause::First);
-    CHECK(held.events == 1);
-    CHECK(held.heldSince == 700ms);
+    REQUIRE(answer->progress.missingItems.size() == 2);
+    const MissingItem &missing = answer->progress.missingItems[run.itemIndex];
+    CHECK(missing.waitsFor == WaitReason::Text);
+    CHECK(missing.target == run.target.id);
+    CHECK(missing.dataCentre == run.target.dataCentre);
+    CHECK(missing.cause == RunCause::First);
+    CHECK(missing.events == 1);
+    CHECK(missing.waitTime == 700ms);
 }
 
 TEST_CASE("an item that found no engine waits for one, and names the last that had it")
@@ -66,12 +66,12 @@
     fixture.send(RunEnded{run.run, RunEnd::Broken, {}});
     fixture.now += 2s;
     fixture.send(BatchProgressRequested{ReplyToken{7}, {"b"}});
-    const HeldItem &held = findAnswer(fixture)->progress.heldItems[run.itemIndex];
-    CHECK(held.heldFor == HeldFor::Engine);
-    CHECK(held.target == run.target.id);
-    CHECK(held.dataCentre.empty());
-    CHECK(held.cause == RunCause::AfterLoss);
-    CHECK(held.heldSince == 2s);
+    const MissingItem &missing = findAnswer(fixture)->progress.missingItems[run.itemIndex];
+    CHECK(missing.waitsFor == WaitReason::Engine);
+    CHECK(missing.target == run.target.id);
+    CHECK(missing.dataCentre.empty());
+    CHECK(missing.cause == RunCause::AfterLoss);
+    CHECK(missing.waitTime == 2s);
 }
 
 TEST_CASE("a node that does not own a batch forwards the request to the owner, once")
@@ -102,7 +102,7 @@
     publishHead(fixture, head);
     fixture.send(BatchProgressRequested{ReplyToken{7}, {"c"}});
     CHECK(findAnswer(fixture)->verdict == ReadVerdict::Found);
-    CHECK(findAnswer(fixture)->progress.heldItems.empty());
+    CHECK(findAnswer(fixture)->progress.missingItems.empty());
     fixture.send(BatchProgressRequested{ReplyToken{7}, {"none"}});
     CHECK(findAnswer(fixture)->verdict == ReadVerdict::Unknown);
 }
