Tell connections that a server has closed from other lost answers; probes of servers

The client now says whether the server closed the connection (closed_by_target), and can open a connection to a server without a request, which tells one that listens from one that does not.

--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -83,6 +83,7 @@
                                  field("target", attempt.target.id.value),
                                  field("status", result.status),
                                  field("failure", static_cast<int>(result.failure)),
+                                 field("closed_by_target", result.closedByServer),
                                  field("after_ms", elapsed.count() / 1000));
     }
 
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -34,6 +34,8 @@
     /// connection may be truncated.
     bool isSelfDelimited = true;
     bool isDeliveredInParts = false; ///< The body was passed to `HttpRequest::onBodyPart`.
+    /// The server closed or reset the connection before its response was complete.
+    bool closedByServer = false;
 };
 
 /// The status and headers of a response whose body is delivered in parts.
@@ -84,6 +86,18 @@
     CancelKey cancelKey{}; ///< Identifies the request for `HttpClient::cancel`.
 };
 
+/// What came of opening a connection.
+enum class ConnectOutcome { Accepted, Refused, TimedOut };
+
+/// Opens a connection to a server and closes it again.
+struct ConnectProbe
+{
+    std::string address; ///< "ip:port".
+    core::Duration timeout{};
+    /// Called exactly once, on the client's thread, unless the client is stopped first.
+    std::function<void(ConnectOutcome)> done;
+};
+
 /// The settings of an `HttpClient`.
 struct HttpClientSettings
 {
@@ -120,6 +134,10 @@
     /// \return false when the ring is full; the request then continues.
     bool cancel(CancelKey key);
 
+    /// Probes a server. Thread-safe, never blocks. When the ring is full, `done` is called at once
+    /// on the calling thread with `TimedOut`.
+    void probe(ConnectProbe &&probe);
+
     /// \return the number of connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include <geraniumpulley/net/http_client.hpp>
 
 #include "connection_pool.hpp"
+#include "connection_probe.hpp"
 
 #include <geraniumpulley/net/detail/event_loop.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -39,7 +40,15 @@
     CancelKey key{};
 };
 
-using Command = std::variant<HttpRequest, CancelCommand>;
+using Command = std::variant<HttpRequest, CancelCommand, ConnectProbe>;
+
+// Whether an error of a read or write shows that the peer has closed the connection.
+bool isClosedByPeer(beast::error_code error)
+{
+    return error == asio::error::eof || error == asio::error::connection_reset
+           || error == asio::error::broken_pipe || error == http::error::end_of_stream
+           || error == http::error::partial_message;
+}
 
 // Parses the timeout of a Keep-Alive header such as "timeout=5, max=100".
 // \return no value if the timeout is missing or malformed.
@@ -188,7 +197,7 @@
         if (this->completed)
             return;
         if (error)
-            return this->fail(SendFailure::AnswerLost);
+            return this->fail(SendFailure::AnswerLost, isClosedByPeer(error));
         this->readResponse();
     }
 
@@ -224,7 +233,7 @@
         if (isMatching && deliversBody)
             this->deliverPart(body);
         if (error || !isMatching || body.size() > maxBufferedPartBytes)
-            return this->fail(SendFailure::AnswerLost);
+            return this->fail(SendFailure::AnswerLost, isClosedByPeer(error));
         if (this->parser->is_done())
             return this->onRead({});
         this->readPart();
@@ -305,7 +314,7 @@
         if (this->completed)
             return;
         if (error || !this->isMatchingResponse())
-            return this->fail(SendFailure::AnswerLost);
+            return this->fail(SendFailure::AnswerLost, isClosedByPeer(error));
         if (this->isInterimResponse()) {
             this->resetParser();
             return this->readResponse();
@@ -340,9 +349,9 @@
         this->client.pool.release(this->poolKey(), std::exchange(this->connection, nullptr));
     }
 
-    void fail(SendFailure failure)
+    void fail(SendFailure failure, bool closedByServer = false)
     {
-        this->complete({failure, 0, {}, {}, {}, true, this->headDelivered});
+        this->complete({failure, 0, {}, {}, {}, true, this->headDelivered, closedByServer});
     }
 
     // Makes closing the connection send a reset, so that an abandoned request cannot arrive later:
@@ -392,6 +401,10 @@
             exchange->cancel();
         return;
     }
+    if (auto *probe = std::get_if<ConnectProbe>(&command)) {
+        ++this->openedConnections;
+        return startProbe(this->loop.context(), std::move(*probe));
+    }
     HttpRequest &request = std::get<HttpRequest>(command);
     const CancelKey key = request.cancelKey;
     const auto exchange = std::make_shared<Exchange>(*this, std::move(request));
@@ -429,6 +442,14 @@
     return this->implementation->loop.inbox().tryPush(CancelCommand{key});
 }
 
+void HttpClient::probe(ConnectProbe &&probe)
+{
+    Command command(std::move(probe));
+    if (!this->implementation->loop.inbox().tryPush(std::move(command)))
+        std::get<ConnectProbe>(command).done( // NOLINT(bugprone-use-after-move)
+                ConnectOutcome::TimedOut);
+}
+
 std::uint64_t HttpClient::connectionsOpened() const
 {
     return this->implementation->openedConnections;
--- a/packages/net/tests/unit-http_client.cpp
+++ b/packages/net/tests/unit-http_client.cpp
@@ -44,7 +44,9 @@
 TEST_CASE("a POST whose connection closes without a response fails as lost and is not retried")
 {
     const RawServer server("");
-    CHECK(sendAndReceive(server.address()).failure == SendFailure::AnswerLost);
+    const net::HttpResult result = sendAndReceive(server.address());
+    CHECK(result.failure == SendFailure::AnswerLost);
+    CHECK(result.closedByServer);
     CHECK(server.requestCount() == 1);
 }
 
