--- a/packages/codec/include/geraniumpulley/codec/row_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/row_messages.hpp
@@ -36,6 +36,16 @@
 std::string encodeStreamOrigin(const StoredOrigin &origin);
 core::Result<StoredOrigin> decodeStreamOrigin(const std::string &bytes);
 
+/// The key of a crash record's row names the request and the target, its value the expiry.
+std::string crashRecordKey(const core::CrashRecord &record);
+bool isCrashRecordKey(const std::string &key);
+std::string encodeCrashRecord(const core::CrashRecord &record);
+core::Result<core::CrashRecord> decodeCrashRecord(const std::string &key, const std::string &bytes);
+
+/// Crash records as one node sends them to another.
+std::string encodeCrashRecords(const std::vector<core::CrashRecord> &records);
+core::Result<std::vector<core::CrashRecord>> decodeCrashRecords(const std::string &bytes);
+
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat);
 core::Result<core::NodeHeartbeat> decodeHeartbeat(const std::string &bytes);
 
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -115,7 +115,7 @@
         return wire.error();
     const auto &[outcome, reason, status, contentType, body] = wire.value();
     const bool isValid = outcome >= 0 && outcome <= static_cast<int>(core::Outcome::Unknown)
-                         && reason >= 0 && reason <= static_cast<int>(core::Reason::CustomerLimit);
+                         && reason >= 0 && reason <= static_cast<int>(core::Reason::Quarantined);
     if (!isValid)
         return make_error_code(Errc::SchemaMismatch);
     return core::CallAnswer{static_cast<core::Outcome>(outcome), static_cast<core::Reason>(reason),
--- a/packages/codec/src/row_messages.cpp
+++ b/packages/codec/src/row_messages.cpp
@@ -4,6 +4,8 @@
 
 #include <geraniumpulley/codec/error.hpp>
 
+#include <charconv>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -21,6 +23,8 @@
 using PartialTextWire = std::tuple<std::uint32_t, std::string, std::uint64_t,
                                    std::vector<std::uint64_t>, std::string>;
 using StreamOriginWire = std::tuple<std::string, std::int64_t>;
+using CrashRecordWire = std::tuple<std::int64_t>;
+using CrashRecordsWire = std::tuple<std::vector<std::tuple<std::string, std::int64_t>>>;
 using HeartbeatWire = std::tuple<std::string, std::string, std::string, std::uint64_t,
                                  std::uint64_t, bool, std::uint32_t>;
 using WeightOrderLeaseWire = std::tuple<std::string, std::uint64_t>;
@@ -30,6 +34,9 @@
 using RelayedCallWire = std::tuple<std::string, std::string, std::string, std::int64_t>;
 using RelayedReplyWire = std::tuple<int, std::uint32_t, std::string>;
 
+// Keys have the form "crash/REQUEST/STARTED_AT/TARGET".
+constexpr std::string_view crashKeyPrefix = "crash/";
+
 std::vector<std::uint64_t> toWire(const std::vector<core::WeightVersion> &versions)
 {
     std::vector<std::uint64_t> numbers;
@@ -128,6 +135,68 @@
     return StoredOrigin{{std::move(software)}, core::Duration(expiresAt)};
 }
 
+std::string crashRecordKey(const core::CrashRecord &record)
+{
+    std::string key(crashKeyPrefix);
+    key.append(record.request.value).append("/");
+    key.append(std::to_string(record.crashed.startedAt)).append("/");
+    return key.append(record.crashed.target.value);
+}
+
+bool isCrashRecordKey(const std::string &key)
+{
+    return key.starts_with(crashKeyPrefix);
+}
+
+std::string encodeCrashRecord(const core::CrashRecord &record)
+{
+    return pack(CrashRecordWire{record.expiresAt.count()});
+}
+
+core::Result<core::CrashRecord> decodeCrashRecord(const std::string &key, const std::string &bytes)
+{
+    const auto wire = unpack<CrashRecordWire>(bytes);
+    if (!wire)
+        return wire.error();
+    const std::size_t start = key.find('/', crashKeyPrefix.size());
+    const std::size_t target = start == std::string::npos ? start : key.find('/', start + 1);
+    if (!isCrashRecordKey(key) || target == std::string::npos)
+        return make_error_code(Errc::SchemaMismatch);
+    core::CrashRecord record;
+    record.request = {key.substr(crashKeyPrefix.size(), start - crashKeyPrefix.size())};
+    const char *const first = key.data() + start + 1;
+    const char *const last = key.data() + target;
+    const auto [end, error] = std::from_chars(first, last, record.crashed.startedAt);
+    if (error != std::errc{} || end != last)
+        return make_error_code(Errc::SchemaMismatch);
+    record.crashed.target = {key.substr(target + 1)};
+    record.expiresAt = core::Duration(std::get<0>(wire.value()));
+    return record;
+}
+
+std::string encodeCrashRecords(const std::vector<core::CrashRecord> &records)
+{
+    CrashRecordsWire wire;
+    for (const core::CrashRecord &record : records)
+        std::get<0>(wire).emplace_back(crashRecordKey(record), record.expiresAt.count());
+    return pack(wire);
+}
+
+core::Result<std::vector<core::CrashRecord>> decodeCrashRecords(const std::string &bytes)
+{
+    const auto wire = unpack<CrashRecordsWire>(bytes);
+    if (!wire)
+        return wire.error();
+    std::vector<core::CrashRecord> records;
+    for (const auto &[key, expiresAt] : std::get<0>(wire.value())) {
+        auto record = decodeCrashRecord(key, pack(CrashRecordWire{expiresAt}));
+        if (!record)
+            return record.error();
+        records.push_back(std::move(record.value()));
+    }
+    return records;
+}
+
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat)
 {
     return pack(HeartbeatWire{heartbeat.node.id.value, heartbeat.node.address,
--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -40,6 +40,9 @@
     static_cast<void>(codec::decodeItemResult(bytes));
     static_cast<void>(codec::decodePartialText(bytes));
     static_cast<void>(codec::decodeStreamOrigin(bytes));
+    static_cast<void>(codec::decodeCrashRecord("crash/r/1/t", bytes));
+    static_cast<void>(codec::decodeCrashRecord(bytes, {}));
+    static_cast<void>(codec::decodeCrashRecords(bytes));
     static_cast<void>(codec::decodeHeartbeat(bytes));
     static_cast<void>(codec::decodeWeightOrderLease(bytes, core::RowVersion{1}));
     static_cast<void>(codec::decodeSubmittedBody(bytes));
@@ -93,6 +96,8 @@
             codec::encodeItemResult({{"i"}, core::ItemOutcome::Completed, "t", {{}, {}}, "s"}),
             codec::encodePartialText({1, "t", 3, {core::WeightVersion{2}}, {"v1"}}),
             codec::encodeStreamOrigin({{"v1"}, core::Duration(7)}),
+            codec::encodeCrashRecord({{"r"}, {{"t"}, 1}, core::Duration(7)}),
+            codec::encodeCrashRecords({{{"r"}, {{"t"}, 1}, core::Duration(7)}}),
             codec::encodeHeartbeat({{{"node"}, "a:1", "zone", 7}, 9, true}),
             codec::encodeRowCopies({{core::FleetTable::Targets, "k", "v", core::RowVersion{4}}}),
             codec::encodeRelay(codec::RelayedCall{"GET", "/x", "b", core::Duration(5)}),
--- a/packages/codec/tests/unit-row_messages.cpp
+++ b/packages/codec/tests/unit-row_messages.cpp
@@ -37,6 +37,18 @@
     CHECK(codec::decodeStreamOrigin(codec::encodeStreamOrigin(origin)).value() == origin);
 }
 
+TEST_CASE("a crash record is decoded from the key and value of its row")
+{
+    const core::CrashRecord record{{"0a1b"}, {{"i-1/x"}, 1700000000000}, core::Duration(9)};
+    const std::string key = codec::crashRecordKey(record);
+    CHECK(codec::isCrashRecordKey(key));
+    CHECK(codec::decodeCrashRecord(key, codec::encodeCrashRecord(record)).value() == record);
+    CHECK(codec::decodeCrashRecords(codec::encodeCrashRecords({record})).value()
+          == std::vector{record});
+    for (const char *malformed : {"crash/0a1b", "crash/0a1b/x/i-1", "head/0a1b/1/i-1", "crash//"})
+        CHECK_FALSE(codec::decodeCrashRecord(malformed, codec::encodeCrashRecord(record)));
+}
+
 TEST_CASE("heartbeats, leases and relayed calls decode to the values that were encoded")
 {
     const core::NodeHeartbeat heartbeat{{{"node"}, "a:1", "zone", 7}, 9, true, 500};
--- a/packages/core/include/geraniumpulley/core/calls/dispatch.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/dispatch.hpp
@@ -3,8 +3,10 @@
 #include <geraniumpulley/core/calls/admission.hpp>
 #include <geraniumpulley/core/calls/call.hpp>
 #include <geraniumpulley/core/calls/claims.hpp>
+#include <geraniumpulley/core/calls/crash_suspects.hpp>
 #include <geraniumpulley/core/calls/load_balancing.hpp>
 #include <geraniumpulley/core/calls/retry_budget.hpp>
+#include <geraniumpulley/core/calls/target_probe.hpp>
 #include <geraniumpulley/core/configuration/configuration.hpp>
 #include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/control/view.hpp>
@@ -50,6 +52,7 @@
 {
     OperationId operation{};
     AttemptFailure failure = AttemptFailure::AnswerLost;
+    bool closedByTarget = false; ///< The target closed the connection, as it also does in a crash.
 };
 /// The node that a call was forwarded to answered.
 struct PeerAnswered
@@ -114,11 +117,12 @@
 {
 };
 
-using DispatchEvent = std::variant<CallReceived, TargetAnswered, AttemptFailed, PeerAnswered,
-                                   DispatchConfigurationChanged, DispatchViewChanged,
-                                   DispatchLeasesChanged, DispatchEnginesChanged, ClaimsCommitted,
-                                   ClaimsCommitRefused, ClaimsCommitUncertain, ClaimRowRead,
-                                   ClaimsLoaded, ClaimsLoadFailed, DispatchTick, DispatchDraining>;
+using DispatchEvent =
+        std::variant<CallReceived, TargetAnswered, AttemptFailed, PeerAnswered,
+                     DispatchConfigurationChanged, DispatchViewChanged, DispatchLeasesChanged,
+                     DispatchEnginesChanged, ClaimsCommitted, ClaimsCommitRefused,
+                     ClaimsCommitUncertain, ClaimRowRead, ClaimsLoaded, ClaimsLoadFailed,
+                     TargetsProbed, DispatchTick, DispatchDraining>;
 
 // Actions
 
@@ -149,7 +153,7 @@
 };
 
 using DispatchAction = std::variant<SendToTarget, ForwardCall, AnswerCall, CommitClaims,
-                                    ReadClaimRow, LoadClaims, DispatchDrained>;
+                                    ReadClaimRow, LoadClaims, ProbeTargets, DispatchDrained>;
 
 /// Identifies the claim that permits a call to be sent.
 struct ClaimReference
@@ -188,6 +192,12 @@
     RandomSource random;
     std::map<ServiceName, AdmissionQueue> queues; ///< Order of the calls that wait for a target.
     std::map<OperationId, InFlightCall> queuedCalls; ///< Calls that wait for a target.
+    /// Requests that were running when targets crashed. Each node keeps its own records.
+    CrashSuspects suspects;
+    /// Crashes of each target, which tell its incarnations apart: views hold no start times.
+    std::map<TargetId, std::uint64_t> crashCounts;
+    /// Calls whose retry waits for the check whether their target has crashed.
+    std::multimap<OperationId, InFlightCall> awaitingChecks;
     bool draining = false; ///< The node is shutting down.
     bool drained = false; ///< `DispatchDrained` has been emitted.
 };
--- a/packages/core/include/geraniumpulley/core/calls/outcome.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/outcome.hpp
@@ -33,6 +33,7 @@
     KeyReused,
     AnswerNotKept,
     CustomerLimit,
+    Quarantined, ///< Targets have crashed while they ran equal requests.
 };
 
 /// \return the name used in headers, bodies and logs, such as "not_run".
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch.hpp>
+#include <geraniumpulley/core/calls/crash_suspects.hpp>
 #include <geraniumpulley/core/calls/load_balancing.hpp>
 #include <geraniumpulley/core/calls/target_health.hpp>
+#include <geraniumpulley/core/calls/target_probe.hpp>
 #include <geraniumpulley/core/entry/stream_origins.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
@@ -30,6 +32,7 @@
     std::string method;
     std::string target; ///< Request target: path and query.
     std::string host;
+    std::string credentials; ///< Those that the client has sent, which tell callers apart.
     std::string requestId; ///< Identifies this attempt of the client.
     std::vector<HttpHeader> headers; ///< End-to-end headers, without hop-by-hop ones.
     std::string body;
@@ -105,11 +108,13 @@
     bool complete = false; ///< The end of the stream arrived, and no event before it is cut off.
     /// The end was marked; otherwise the target just closed the connection.
     bool hasEndMarker = true;
+    bool closedByTarget = false; ///< The target closed the connection before the end.
 };
 struct EntryAttemptFailed
 {
     OperationId operation{};
     EntryFailure failure = EntryFailure::AnswerLost;
+    bool closedByTarget = false; ///< The target closed the connection, as it also does in a crash.
 };
 /// A batch requests the score of a finished item.
 struct ScoreRequested
@@ -135,8 +140,8 @@
 using EntryEvent =
         std::variant<EntryCallReceived, CallerDisconnected, AttemptAnswered, StreamHeadReceived,
                      StreamEventReceived, StreamEnded, EntryAttemptFailed, ScoreRequested,
-                     PermitsReceived, StreamOriginFound, StreamOriginsStored, EntryDirectoryChanged,
-                     EntryTick>;
+                     PermitsReceived, StreamOriginFound, StreamOriginsStored, TargetsProbed,
+                     CrashRecordsStored, CrashRecordsReceived, EntryDirectoryChanged, EntryTick>;
 
 // Actions
 
@@ -176,6 +181,9 @@
     NoTarget, ///< The service has no target that accepts requests.
     TargetsFull, ///< Every target that was tried refused the request.
     RateLimited, ///< The rate limits of the targets allow the request too late.
+    Quarantined, ///< Targets have crashed while they ran the request.
+    /// Targets have crashed while they ran the request, which therefore pauses.
+    PausedAfterCrashes,
     SoftwareUnknown, ///< The software that began the stream which a client takes up is unknown.
     Failed, ///< Attempts failed, and the request may have run.
     TimedOut,
@@ -231,10 +239,31 @@
     Duration latency{}; ///< Time since the scoring request was accepted.
 };
 
+/// Reports the end of the check of a target that has closed connections, for the log.
+struct CrashCheckCompleted
+{
+    TargetIncarnation target;
+    ProbeOutcome outcome = ProbeOutcome::Silent; ///< Of the probe of that target.
+    bool hasCrashed = false;
+};
+/// Reports that a request was running when a target crashed, for the log.
+struct CrashRecorded
+{
+    CrashRecord record;
+    CrashJudgement judgement;
+};
+/// Reports that the crash records in the store have changed, for the log.
+struct CrashRecordsChanged
+{
+    std::size_t requests = 0;
+    std::size_t records = 0;
+};
+
 using EntryAction =
         std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead, SendStreamEvent,
                      EndStream, ScoreCompleted, RateLimitChanged, RequestPermits, FindStreamOrigin,
-                     StoreStreamOrigins, SweepStreamOrigins>;
+                     StoreStreamOrigins, SweepStreamOrigins, ProbeTargets, CrashCheckCompleted,
+                     CrashRecorded, CrashRecordsChanged, StoreCrashRecords>;
 
 struct EntrySettings
 {
@@ -258,7 +287,9 @@
     TargetId target;
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
+    bool runsAlone = false; ///< The request is suspected of crashing targets.
     SoftwareVersion software; ///< The target's software.
+    std::uint64_t targetStartedAt = 0; ///< As in `FleetTarget`.
     bool hasEvents = false; ///< Events of its stream were sent to the caller.
     Time lastEventAt{}; ///< Time of the last event of its stream, or when it was sent.
     Duration silenceLimit{}; ///< Time without an event after which its stream is given up.
@@ -289,6 +320,12 @@
     std::optional<EntryAnswer> targetFailure;
     std::optional<Time> nextAttemptAt; ///< When a retry or a hedged attempt is due.
     bool awaitsPermit = false; ///< The next attempt waits for a permit of a target.
+    /// The next attempt waits for the check whether the last target has crashed.
+    std::optional<OperationId> awaitedCheck;
+    std::optional<RequestDigest> digest; ///< Set once it was needed.
+    /// A request that is suspected of crashing targets waits until then for a target that runs no
+    /// other request of this node.
+    std::optional<Time> runsAloneUntil;
     bool headSent = false; ///< The head of a stream has been sent to the caller.
     std::uint64_t lastEventId = 0; ///< The last stream event that was sent to the caller.
     SoftwareVersion software; ///< The software that generated the events of the stream.
@@ -312,6 +349,9 @@
     StreamOrigins streamOrigins;
     Time nextSweepAt{}; ///< Of the store's expired origins.
     std::map<TargetId, TargetHealth> health;
+    /// This node's attempts in flight whose requests are suspected of crashing targets.
+    std::map<TargetId, std::uint32_t> suspectsPerTarget;
+    CrashSuspects suspects;
     RandomSource random;
     OperationId nextOperation{1};
     std::uint64_t nextScoreNumber = 0;
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch_head.hpp>
+#include <geraniumpulley/core/calls/crash_log.hpp>
 #include <geraniumpulley/core/fleet/engine_assignments.hpp>
 #include <geraniumpulley/core/fleet/fleet_target.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
@@ -35,6 +36,8 @@
     std::shared_ptr<const ModelWork> modelWork;
     /// All batches; null until the table of batches has been read.
     std::shared_ptr<const BatchMap> batches;
+    /// The requests that were running when targets crashed; null until they have been read.
+    std::shared_ptr<const CrashLog> crashes;
     Presence presence;
     /// Until this time no other node can have taken over the batches that this node owns, so this
     /// node can answer from its own state of them.
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -28,7 +28,7 @@
     Routing, ///< The operators' routing table and the desired weights.
     Targets, ///< The targets with the state that they report.
     Nodes, ///< The heartbeats of this system's nodes.
-    Batches, ///< The heads of batches, and the lease on weight orders.
+    Batches, ///< The heads of batches, the lease on weight orders, and crash records.
 };
 inline constexpr std::size_t fleetTableCount = 4;
 
@@ -49,7 +49,7 @@
 
 using FleetRecord = std::variant<std::monostate, std::shared_ptr<const RoutingTable>,
                                  DesiredModelWeights, std::shared_ptr<const FleetTarget>,
-                                 NodeHeartbeat, BatchHead, WeightOrderLease>;
+                                 NodeHeartbeat, BatchHead, WeightOrderLease, CrashRecord>;
 
 struct FleetRow
 {
@@ -199,6 +199,7 @@
     Time nextPeerRequestAt{};
     WeightMap desiredWeights;
     BatchMap batches;
+    std::map<std::string, CrashRecord> crashRecords; ///< By the key of their row.
     WeightOrderLease lease;
     Time leaseRetryAt{}; ///< The earliest time of the next write of the lease.
     Time ordersAllowedFrom{}; ///< The earliest time of the first order under a new lease.
@@ -219,6 +220,7 @@
     /// Whether anything but heartbeats differs from `published`.
     bool contentChanged = false;
     bool targetsChanged = false; ///< Whether the targets differ from those in `published`.
+    bool crashesChanged = false; ///< Whether the crash records differ from those in `published`.
     bool presenceChanged = false;
 };
 
--- a/packages/core/src/calls/call.cpp
+++ b/packages/core/src/calls/call.cpp
@@ -26,6 +26,7 @@
     case Reason::AnswerLost:
     case Reason::AnswerMalformed:
     case Reason::PeerLost:
+    case Reason::Quarantined:
         return 502;
     case Reason::NoTarget:
     case Reason::NotReady:
--- a/packages/core/src/calls/dispatch.cpp
+++ b/packages/core/src/calls/dispatch.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/calls/dispatch.hpp>
 
+#include "crash_probe.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -34,6 +36,8 @@
             return;
         const InFlightCall call = this->removeInFlight(position);
         this->recordResult(call, event.status < minServerErrorStatus);
+        if (!this->state.suspects.log.empty() || !this->state.suspects.checks.empty())
+            clearRequest(this->state.suspects, digestOfCall(call.attempt.call));
         const CallAnswer answer{Outcome::Ran, Reason::Served, event.status, event.contentType,
                                 event.body};
         if (!call.claim) {
@@ -55,10 +59,12 @@
         InFlightCall call = this->removeInFlight(position);
         this->recordResult(call, false);
         const ServiceName service = call.attempt.call.service;
+        const auto check =
+                event.closedByTarget && call.target ? this->checkForCrash(call) : std::nullopt;
         if (event.failure == AttemptFailure::NotSent)
             this->retry(std::move(call), Reason::ConnectFailed);
         else if (call.target && !call.claim && this->consumeRetry(call))
-            this->sendOrQueue(std::move(call)); // Only repeatable calls are sent without a claim.
+            this->repeat(std::move(call), check); // Only repeatable calls are sent without a claim.
         else
             this->finishUnknown(call, call.target ? Reason::AnswerLost : Reason::PeerLost);
         this->dispatchQueued(service);
@@ -81,7 +87,15 @@
         this->state.configuration = event.configuration;
     }
 
-    void operator()(const DispatchViewChanged &event) { this->state.view = event.view; }
+    void operator()(const DispatchViewChanged &event)
+    {
+        this->state.view = event.view;
+        const std::vector<Target> &targets = event.view->targets;
+        std::erase_if(this->state.crashCounts, [&](const auto &entry) {
+            return std::none_of(targets.begin(), targets.end(),
+                                [&](const Target &target) { return target.id == entry.first; });
+        });
+    }
 
     void operator()(const DispatchLeasesChanged &event)
     {
@@ -135,8 +149,22 @@
         onClaimsLoadFailed(this->state.claims, event.shard, event.operation, this->now);
     }
 
+    void operator()(const TargetsProbed &event)
+    {
+        const std::vector<CrashRecord> records =
+                finishCheck(this->state.suspects, event.operation, showsCrash(event),
+                            this->now.time_since_epoch());
+        for (const CrashRecord &record : records)
+            addRecord(this->state.suspects, record);
+        if (!records.empty())
+            ++this->state.crashCounts[records.front().crashed.target];
+        while (auto waiting = this->state.awaitingChecks.extract(event.operation))
+            this->sendOrQueue(std::move(waiting.mapped()));
+    }
+
     void operator()(const DispatchTick &event)
     {
+        sweepRecords(this->state.suspects, this->now.time_since_epoch());
         ClaimActions claimActions;
         tickClaims(this->state.claims, event.wallNow, this->state.nextOperation, this->now,
                    claimActions);
@@ -254,14 +282,81 @@
         const Service *service = findService(*this->state.configuration, call.attempt.call.service);
         if (service == nullptr)
             return this->finishNotRun(call, Reason::UnknownService);
-        const std::vector<Candidate> candidates = this->candidatesOf(*service);
+        const CrashVerdict verdict = this->judgeCall(call);
+        if (verdict == CrashVerdict::Quarantined || verdict == CrashVerdict::Paused)
+            return this->finishQuarantined(call);
+        std::vector<Candidate> candidates = this->candidatesOf(*service);
         if (candidates.empty())
             return this->finishNotRun(call, Reason::NoTarget);
+        if (verdict == CrashVerdict::Suspected)
+            preferIdle(candidates);
         if (const Target *target = this->chooseTarget(*service, candidates))
             return this->send(std::move(call), *target);
         this->queueCall(std::move(call), *service);
     }
 
+    static RequestDigest digestOfCall(const Call &call)
+    {
+        return digestOf({call.customer, call.service.value, call.method, call.path, call.body});
+    }
+
+    CrashVerdict judgeCall(const InFlightCall &call) const
+    {
+        const CrashSuspects &suspects = this->state.suspects;
+        if (suspects.log.empty())
+            return CrashVerdict::Clear;
+        return judge(suspects.log, digestOfCall(call.attempt.call), this->now.time_since_epoch(),
+                     suspects.settings.judging)
+                .verdict;
+    }
+
+    // A suspected call runs alone where it can, so that a further crash shows more.
+    static void preferIdle(std::vector<Candidate> &candidates)
+    {
+        const auto isIdle = [](const Candidate &c) { return c.usable && c.ownInFlight == 0; };
+        if (std::any_of(candidates.begin(), candidates.end(), isIdle))
+            std::erase_if(candidates, [&](const Candidate &c) { return !isIdle(c); });
+    }
+
+    // \return the check of the call's target, or nothing if that leaves or has left.
+    std::optional<OperationId> checkForCrash(const InFlightCall &call)
+    {
+        std::vector<const Target *> targets;
+        const Target *lost = nullptr;
+        for (const Target &target : this->state.view->targets) {
+            targets.push_back(&target);
+            if (target.id == call.target && !target.leaving)
+                lost = &target;
+        }
+        if (lost == nullptr)
+            return std::nullopt;
+        const OperationId newCheck = this->state.nextOperation;
+        const OperationId check = addToCheck(this->state.suspects, newCheck,
+                                             {lost->id, this->state.crashCounts[lost->id]},
+                                             digestOfCall(call.attempt.call));
+        if (check == newCheck) {
+            this->state.nextOperation = next(newCheck);
+            this->actions.push_back(makeCrashProbe(check, *lost, targets, this->state.random));
+        }
+        return check;
+    }
+
+    void repeat(InFlightCall call, std::optional<OperationId> check)
+    {
+        if (check)
+            this->state.awaitingChecks.emplace(*check, std::move(call));
+        else
+            this->sendOrQueue(std::move(call));
+    }
+
+    void finishQuarantined(const InFlightCall &call)
+    {
+        const bool isRetry = call.attemptCount > 1 && !call.claim;
+        if (isRetry)
+            return this->finishUnknown(call, Reason::Quarantined);
+        this->finishNotRun(call, Reason::Quarantined);
+    }
+
     // Each node uses only a subset of the targets, so that its own counts are close to their load.
     std::vector<Candidate> candidatesOf(const Service &service)
     {
@@ -487,7 +582,7 @@
     Handler handler{state, now, {}};
     std::visit(handler, event);
     if (state.draining && !state.drained && state.inFlight.empty() && state.queuedCalls.empty()
-        && isIdle(state.claims)) {
+        && state.awaitingChecks.empty() && isIdle(state.claims)) {
         state.drained = true;
         handler.actions.push_back(DispatchDrained{});
     }
--- a/packages/core/src/calls/outcome.cpp
+++ b/packages/core/src/calls/outcome.cpp
@@ -58,6 +58,8 @@
         return "answer_not_kept";
     case Reason::CustomerLimit:
         return "customer_limit";
+    case Reason::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include <geraniumpulley/core/entry/entry.hpp>
 
+#include "../calls/crash_probe.hpp"
 #include "target_choice.hpp"
 
 #include <geraniumpulley/core/event_sequence.hpp>
@@ -97,6 +98,8 @@
         if (event.notExecuted || event.answer.status == status::misdirected)
             return this->retryAfterRefusal(position);
         request.mayHaveRun = true;
+        if (event.hasSignature)
+            this->clearOfCrashes(request);
         // A stream that has begun takes nothing but events of a stream.
         if (request.headSent)
             return this->retryAfterLoss(position);
@@ -181,6 +184,8 @@
         if (position == this->state.requests.end())
             return;
         this->noteSilence(position->second, *attempt);
+        if (event.closedByTarget)
+            this->checkForCrash(position->second, *attempt);
         // Whether a target that closes without an end marker sent all events is shown by a further
         // attempt, which then ends without an event.
         const EntryRequest &request = position->second;
@@ -188,6 +193,7 @@
                               || (!attempt->hasEvents && request.lastEventId > 0);
         if (!event.complete || !isProved)
             return this->retryAfterLoss(position);
+        this->clearOfCrashes(position->second);
         this->endStream(position, true);
     }
 
@@ -207,12 +213,49 @@
             return this->retryAfterRefusal(position);
         position->second.mayHaveRun = true;
         this->noteSilence(position->second, *attempt);
+        if (event.closedByTarget)
+            this->checkForCrash(position->second, *attempt);
         this->retryAfterLoss(position);
     }
 
+    void operator()(const TargetsProbed &event)
+    {
+        const auto check = this->state.suspects.checks.find(event.operation);
+        if (check == this->state.suspects.checks.end() || event.outcomes.empty())
+            return;
+        const bool hasCrashed = showsCrash(event);
+        this->actions.emplace_back(
+                CrashCheckCompleted{check->second.target, event.outcomes.front(), hasCrashed});
+        for (const CrashRecord &record :
+             finishCheck(this->state.suspects, event.operation, hasCrashed, this->storeTime()))
+            this->recordCrash(record);
+        std::vector<ReplyToken> awaiting;
+        for (auto &[reply, request] : this->state.requests) {
+            if (request.awaitedCheck != event.operation)
+                continue;
+            request.awaitedCheck.reset();
+            awaiting.push_back(reply);
+        }
+        for (const ReplyToken reply : awaiting)
+            this->retryAfterLoss(this->state.requests.find(reply));
+    }
+
+    void operator()(const CrashRecordsStored &event)
+    {
+        recordCrashWrite(this->state.suspects, event.succeeded, this->now);
+    }
+
+    void operator()(const CrashRecordsReceived &event)
+    {
+        for (const CrashRecord &record : event.records)
+            addRecord(this->state.suspects, record);
+    }
+
     void operator()(const EntryDirectoryChanged &event)
     {
         this->state.directory = event.directory;
+        if (replaceStored(this->state.suspects, event.directory->crashes))
+            this->reportStoredCrashes();
         const TargetMap &targets = *event.directory->targets;
         std::erase_if(this->state.health,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
@@ -373,11 +416,27 @@
         request.awaitsPermit = false;
         if (!this->mayAttempt(request) || (!request.repeatable && !request.openAttempts.empty()))
             return;
+        const CrashJudgement judgement = this->judgeRequest(request);
+        if (judgement.verdict != CrashVerdict::Clear) {
+            if (!request.openAttempts.empty())
+                return;
+            if (judgement.verdict == CrashVerdict::Quarantined)
+                return this->finishUnserved(position, EntryVerdict::Quarantined);
+            if (judgement.verdict == CrashVerdict::Paused)
+                return this->finishUnserved(position, EntryVerdict::PausedAfterCrashes,
+                                            judgement.pauseLeft);
+            if (!request.runsAloneUntil)
+                request.runsAloneUntil = this->now + (request.deadline - this->now) / 2;
+        }
         const TargetChoice choice = chooseTarget(this->state, request, this->now);
         if (choice.target != nullptr)
             return this->sendTo(position, *choice.target);
         if (!request.openAttempts.empty())
             return;
+        if (choice.awaitsIdleTarget) {
+            request.nextAttemptAt = this->now + this->state.settings.refusalBackoff;
+            return;
+        }
         if (choice.rateLimited != nullptr && this->awaitTarget(position, *choice.rateLimited))
             return;
         if (choice.alreadyTried != nullptr)
@@ -407,6 +466,10 @@
         attempt.target = target.id;
         attempt.reply = position->first;
         attempt.software = softwareOf(*this->state.directory, target.id);
+        attempt.targetStartedAt = startTimeOf(*this->state.directory, target.id);
+        attempt.runsAlone = request.runsAloneUntil.has_value();
+        if (attempt.runsAlone)
+            ++this->state.suspectsPerTarget[target.id];
         attempt.lastEventAt = this->now;
         attempt.silenceLimit =
                 silenceLimit(request.minSilenceLimit,
@@ -416,8 +479,10 @@
                                                request.kind == RouteKind::Stream,
                                                request.repeatable, request.lastEventId,
                                                attempt.silenceLimit});
+        const bool mayHedge = !attempt.runsAlone;
         this->state.attempts.emplace(operation, std::move(attempt));
-        if (request.repeatable && request.kind != RouteKind::Stream && this->mayAttempt(request))
+        if (mayHedge && request.repeatable && request.kind != RouteKind::Stream
+            && this->mayAttempt(request))
             request.nextAttemptAt = this->now + this->state.settings.hedgeDelay;
     }
 
@@ -457,11 +522,98 @@
         EntryRequest &request = position->second;
         if (!request.openAttempts.empty())
             return;
-        if (request.repeatable && this->mayAttempt(request))
-            return this->sendNextAttempt(position);
+        if (request.repeatable && this->mayAttempt(request)) {
+            request.nextAttemptAt.reset();
+            if (!request.awaitedCheck)
+                this->sendNextAttempt(position);
+            return;
+        }
         this->finishUnserved(position, EntryVerdict::Failed);
     }
 
+    RequestDigest &digestOfRequest(EntryRequest &request) const
+    {
+        const EntryCall &call = *request.call;
+        if (!request.digest)
+            request.digest =
+                    digestOf({call.credentials, call.host, call.method, call.target, call.body});
+        return *request.digest;
+    }
+
+    // Requests of batches are owed whatever happens, so they are never suspected.
+    CrashJudgement judgeRequest(EntryRequest &request) const
+    {
+        const CrashSuspects &suspects = this->state.suspects;
+        if (request.scoreRequest || suspects.log.empty())
+            return {};
+        return judge(suspects.log, this->digestOfRequest(request), this->storeTime(),
+                     suspects.settings.judging);
+    }
+
+    // Finds out whether a target that has closed a connection has crashed. A target that leaves is
+    // expected to close connections.
+    void checkForCrash(EntryRequest &request, const EntryAttempt &attempt)
+    {
+        const TargetMap &targets = *this->state.directory->targets;
+        const auto target = targets.find(attempt.target);
+        if (request.scoreRequest || target == targets.end() || target->second.target.leaving)
+            return;
+        const OperationId newCheck = this->state.nextOperation;
+        const OperationId check = addToCheck(this->state.suspects, newCheck,
+                                             {attempt.target, attempt.targetStartedAt},
+                                             this->digestOfRequest(request));
+        request.awaitedCheck = check;
+        if (check != newCheck)
+            return;
+        this->state.nextOperation = next(newCheck);
+        std::vector<const Target *> controls;
+        for (const auto &[id, known] : targets)
+            controls.push_back(&known.target);
+        this->actions.emplace_back(
+                makeCrashProbe(check, target->second.target, controls, this->state.random));
+    }
+
+    void recordCrash(const CrashRecord &record)
+    {
+        CrashSuspects &suspects = this->state.suspects;
+        addRecord(suspects, record);
+        const CrashJudgement judgement =
+                judge(suspects.log, record.request, this->storeTime(), suspects.settings.judging);
+        this->actions.emplace_back(CrashRecorded{record, judgement});
+        // A request that is still tried elsewhere may prove to be sound.
+        const bool isInProgress = std::any_of(
+                this->state.requests.begin(), this->state.requests.end(),
+                [&](const auto &entry) { return entry.second.digest == record.request; });
+        if (!isInProgress || judgement.crashes > 1)
+            shareRecords(suspects, record.request);
+    }
+
+    void reportStoredCrashes()
+    {
+        CrashRecordsChanged changed;
+        for (const auto &[request, crashes] : *this->state.suspects.stored) {
+            ++changed.requests;
+            changed.records += crashes.size();
+        }
+        this->actions.emplace_back(changed);
+    }
+
+    void clearOfCrashes(EntryRequest &request)
+    {
+        CrashSuspects &suspects = this->state.suspects;
+        if (request.scoreRequest || (suspects.log.empty() && suspects.checks.empty()))
+            return;
+        clearRequest(suspects, this->digestOfRequest(request));
+    }
+
+    Duration storeTime() const
+    {
+        const Directory *directory = this->state.directory.get();
+        if (directory == nullptr || !directory->storeClockOffset)
+            return {};
+        return this->now.time_since_epoch() + *directory->storeClockOffset;
+    }
+
     void expireRequest(Requests::iterator position)
     {
         this->finishUnserved(position, EntryVerdict::TimedOut);
@@ -477,6 +629,9 @@
             return this->finish(position, failure, EntryVerdict::Served);
         }
         const bool mayHaveRun = request.mayHaveRun || !request.openAttempts.empty();
+        // Equal requests have run, so that "not run" would be misleading, and a retry is useless.
+        if (verdict == EntryVerdict::Quarantined)
+            return this->finish(position, {status::badGateway}, verdict);
         if (verdict == EntryVerdict::TimedOut && mayHaveRun)
             return this->finish(position, {status::gatewayTimeout}, verdict);
         if (mayHaveRun)
@@ -509,6 +664,8 @@
                 const std::string &signature = {})
     {
         const EntryRequest &request = position->second;
+        if (verdict != EntryVerdict::Served && request.digest)
+            shareRecords(this->state.suspects, *request.digest);
         if (request.headSent)
             return this->endStream(position, false);
         if (request.scoreRequest) {
@@ -581,6 +738,11 @@
         const auto load = this->state.attemptsPerTarget.find(attempt.target);
         if (--load->second == 0)
             this->state.attemptsPerTarget.erase(load);
+        if (attempt.runsAlone) {
+            const auto suspects = this->state.suspectsPerTarget.find(attempt.target);
+            if (--suspects->second == 0)
+                this->state.suspectsPerTarget.erase(suspects);
+        }
         const auto request = this->state.requests.find(attempt.reply);
         if (request != this->state.requests.end())
             request->second.openAttempts.erase(operation);
@@ -598,6 +760,20 @@
             recordFailure(health, {}, this->now);
     }
 
+    // Runs after each event.
+    void maintainCrashRecords()
+    {
+        CrashSuspects &suspects = this->state.suspects;
+        if (!suspects.log.empty() && this->now >= suspects.nextSweepAt) {
+            sweepRecords(suspects, this->storeTime());
+            // Without the jitter all nodes would remove the same records from the store.
+            const auto jitter = draw(this->state.random, suspects.settings.sweepPeriod.count());
+            suspects.nextSweepAt = this->now + suspects.settings.sweepPeriod + Duration(jitter);
+        }
+        if (auto write = dueCrashWrite(suspects, this->now))
+            this->actions.emplace_back(std::move(*write));
+    }
+
     // Runs after each event.
     void maintainStreamOrigins()
     {
@@ -622,6 +798,9 @@
     EntryState state;
     state.settings = settings;
     state.random.state = seed;
+    CrashSuspectSettings &suspects = state.suspects.settings;
+    suspects.judging.retryPause +=
+            Duration(draw(state.random, static_cast<std::size_t>(suspects.maxExtraPause.count())));
     return state;
 }
 
@@ -631,6 +810,7 @@
     std::visit(handler, event);
     for (const RequestPermits &request : duePermitRequests(state.permits, now))
         handler.actions.emplace_back(request);
+    handler.maintainCrashRecords();
     handler.maintainStreamOrigins();
     return std::move(handler.actions);
 }
@@ -638,8 +818,10 @@
 std::optional<Time> dueAt(const EntryState &state)
 {
     std::optional<Time> due = dueAt(state.permits);
-    if (const auto originsDueAt = dueAt(state.streamOrigins))
-        due = std::min(due.value_or(*originsDueAt), *originsDueAt);
+    for (const auto partDueAt : {dueAt(state.streamOrigins), dueAt(state.suspects)}) {
+        if (partDueAt)
+            due = std::min(due.value_or(*partDueAt), *partDueAt);
+    }
     if (state.directory && hasResumableRoute(*state.directory))
         due = std::min(due.value_or(state.nextSweepAt), state.nextSweepAt);
     for (const auto &[reply, request] : state.requests) {
--- a/packages/core/src/entry/target_choice.cpp
+++ b/packages/core/src/entry/target_choice.cpp
@@ -55,18 +55,27 @@
 
 TargetChoice chooseTarget(EntryState &state, const EntryRequest &request, Time now)
 {
+    const bool mustRunAlone = request.runsAloneUntil && now < *request.runsAloneUntil;
+    bool anyBusy = false;
     std::vector<Candidate> untried;
     std::vector<Candidate> alreadyTried;
     for (const FleetTarget *target : servingTargets(*state.directory->targets, request.service)) {
         if (!canServe(*target, request))
             continue;
         const TargetId &id = target->target.id;
+        const bool runsSuspect = state.suspectsPerTarget.count(id) != 0;
+        if (mustRunAlone && countOf(state.attemptsPerTarget, id) > 0) {
+            anyBusy = true;
+            continue;
+        }
         const Candidate candidate{&target->target,
                                   countOf(state.attemptsPerTarget, id)
                                           + countOf(state.reportedWaiting, id),
-                                  0, isUsable(state.health[id], now)};
+                                  0, isUsable(state.health[id], now) && !runsSuspect};
         (request.triedTargets.count(id) == 0 ? untried : alreadyTried).push_back(candidate);
     }
+    if (anyBusy && untried.empty())
+        return {nullptr, nullptr, nullptr, true};
     if (untried.empty() && request.openAttempts.empty())
         return choosePermitted(state, std::move(alreadyTried), now);
     TargetChoice choice = choosePermitted(state, std::move(untried), now);
@@ -90,6 +99,12 @@
     return position == directory.targets->end() ? SoftwareVersion{} : position->second.software;
 }
 
+std::uint64_t startTimeOf(const Directory &directory, const TargetId &target)
+{
+    const auto position = directory.targets->find(target);
+    return position == directory.targets->end() ? 0 : position->second.startedAt;
+}
+
 std::optional<SoftwareVersion> onlySoftwareOf(const Directory &directory,
                                               const ServiceName &service)
 {
--- a/packages/core/src/entry/target_choice.hpp
+++ b/packages/core/src/entry/target_choice.hpp
@@ -15,6 +15,8 @@
     const Target *rateLimited = nullptr;
     /// A target that has refused the request before and may accept it now; null if there is none.
     const Target *alreadyTried = nullptr;
+    /// The request must run alone at a target, and each target runs another request of this node.
+    bool awaitsIdleTarget = false;
 };
 
 /// Chooses the least loaded target. Targets that the request was already sent to are chosen only if
@@ -27,6 +29,9 @@
 /// \return the software of a target; empty for an unknown target.
 SoftwareVersion softwareOf(const Directory &directory, const TargetId &target);
 
+/// \return the start time that a target reports; 0 for an unknown target.
+std::uint64_t startTimeOf(const Directory &directory, const TargetId &target);
+
 /// \return the software of a service whose targets all run the same, else null.
 std::optional<SoftwareVersion> onlySoftwareOf(const Directory &directory,
                                               const ServiceName &service);
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -262,6 +262,8 @@
             if (state.batchesKnown)
                 next.batches = std::make_shared<BatchMap>(state.batches);
         }
+        if (state.crashesChanged)
+            next.crashes = this->copyCrashes();
         next.presence = state.presence;
         if (state.presenceChanged)
             this->updateReadPeriods();
@@ -271,6 +273,7 @@
                 PublishDirectory{std::make_shared<Directory>(next), state.contentChanged});
         state.contentChanged = false;
         state.targetsChanged = false;
+        state.crashesChanged = false;
         state.presenceChanged = false;
     }
 
@@ -290,6 +293,14 @@
         return targets;
     }
 
+    [[nodiscard]] std::shared_ptr<const CrashLog> copyCrashes() const
+    {
+        auto log = std::make_shared<CrashLog>();
+        for (const auto &[key, record] : this->state.crashRecords)
+            (*log)[record.request][record.crashed] = record.expiresAt;
+        return log;
+    }
+
     static FencingToken fencingTokenOf(const WeightOrderLease &lease)
     {
         return static_cast<FencingToken>(lease.version);
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -12,6 +12,12 @@
     state.targetsChanged = true;
 }
 
+void noteCrashesChanged(FleetState &state)
+{
+    state.contentChanged = true;
+    state.crashesChanged = true;
+}
+
 void applyTarget(FleetState &state, const std::shared_ptr<const FleetTarget> &target)
 {
     KnownTarget &known = state.targets[target->target.id];
@@ -41,8 +47,12 @@
     {
         if (this->table == FleetTable::Targets)
             markTargetMissing(this->state, {this->row.key}, this->now);
-        if (this->table == FleetTable::Batches && this->state.batches.erase({this->row.key}) > 0)
+        if (this->table != FleetTable::Batches)
+            return;
+        if (this->state.batches.erase({this->row.key}) > 0)
             this->state.contentChanged = true;
+        if (this->state.crashRecords.erase(this->row.key) > 0)
+            noteCrashesChanged(this->state);
     }
 
     void operator()(const std::shared_ptr<const RoutingTable> &routing)
@@ -83,6 +93,14 @@
         this->state.contentChanged = true;
     }
 
+    void operator()(const CrashRecord &record)
+    {
+        const auto [position, isNew] =
+                this->state.crashRecords.insert_or_assign(this->row.key, record);
+        if (isNew)
+            noteCrashesChanged(this->state);
+    }
+
     void operator()(const WeightOrderLease &lease)
     {
         if (lease.version <= this->state.lease.version)
@@ -121,6 +139,10 @@
         });
         state.contentChanged = state.contentChanged || removed > 0 || !state.batchesKnown;
         state.batchesKnown = true;
+        if (std::erase_if(state.crashRecords,
+                          [&](const auto &entry) { return presentKeys.count(entry.first) == 0; })
+            > 0)
+            noteCrashesChanged(state);
     }
 }
 
--- a/packages/core/tests/entry/entry_harness.hpp
+++ b/packages/core/tests/entry/entry_harness.hpp
@@ -45,6 +45,7 @@
     auto directory = std::make_shared<Directory>();
     directory->routing = routing;
     directory->targets = targets;
+    directory->storeClockOffset = Duration{};
     return directory;
 }
 
--- a/packages/core/tests/unit-at_most_once.cpp
+++ b/packages/core/tests/unit-at_most_once.cpp
@@ -238,6 +238,8 @@
         });
     }
 
+    void perform(std::size_t /*i*/, const ProbeTargets & /*probe*/) { }
+
     void perform(std::size_t i, const LoadClaims &load)
     {
         const std::uint64_t incarnation = this->nodes[i].incarnation;
--- a/packages/core/tests/unit-dispatch.cpp
+++ b/packages/core/tests/unit-dispatch.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace geraniumpulley::core;
 using namespace std::chrono_literals;
 
@@ -24,9 +26,14 @@
     return state;
 }
 
+CallReceived makeCallUntil(const char *service, Time deadline)
+{
+    return {ReplyToken{7}, Call{{service}, {}, "GET", "/status", {}, {}, {}}, deadline, false};
+}
+
 CallReceived makeCall(const char *service)
 {
-    return {ReplyToken{7}, Call{{service}, {}, "GET", "/status", {}, {}, {}}, start + 1s, false};
+    return makeCallUntil(service, start + 1s);
 }
 
 } // namespace
@@ -178,3 +185,36 @@
     REQUIRE(done.size() == 2);
     CHECK(std::holds_alternative<DispatchDrained>(done[1]));
 }
+
+TEST_CASE("a call that has crashed three targets is not sent to a fourth")
+{
+    DispatchState state = makeReadyState();
+    auto view = std::make_shared<View>(*state.view);
+    for (const char *target : {"t2", "t3", "t4", "t5"})
+        view->targets.push_back({{target}, {"orders"}, "127.0.0.1:9", "bilbao", false});
+    step(state, DispatchViewChanged{view}, start);
+    Time now = start;
+    int crashes = 0;
+    std::vector<DispatchAction> actions;
+    for (int round = 0; round < 6; ++round, now += 6s) {
+        actions = step(state, makeCallUntil("orders", now + 1s), now);
+        while (std::holds_alternative<SendToTarget>(actions.at(0))) {
+            ++crashes;
+            const OperationId sent = std::get<SendToTarget>(actions[0]).operation;
+            actions = step(state, AttemptFailed{sent, AttemptFailure::AnswerLost, true}, now);
+            const auto probe = std::find_if(actions.begin(), actions.end(), [](const auto &action) {
+                return std::holds_alternative<ProbeTargets>(action);
+            });
+            REQUIRE(probe != actions.end());
+            const OperationId check = std::get<ProbeTargets>(*probe).operation;
+            actions = step(state,
+                           TargetsProbed{check, {ProbeOutcome::Refused, ProbeOutcome::Accepted}},
+                           now);
+            REQUIRE(!actions.empty());
+        }
+    }
+    CHECK(crashes == 3);
+    const CallAnswer &answer = std::get<AnswerCall>(actions.at(0)).answer;
+    CHECK(answer.reason == Reason::Quarantined);
+    CHECK(answer.status == 502);
+}
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -1,7 +1,9 @@
+#include "crash_store.hpp"
 #include "duties.hpp"
 #include "origin_store.hpp"
 #include "permit_link.hpp"
 
+#include <geraniumpulley/net/target_probe.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
 #include <geraniumpulley/platform/target_messages.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
@@ -34,6 +36,10 @@
         return "targets_full";
     case core::EntryVerdict::RateLimited:
         return "rate_limited";
+    case core::EntryVerdict::Quarantined:
+        return "quarantined";
+    case core::EntryVerdict::PausedAfterCrashes:
+        return "paused_after_crashes";
     case core::EntryVerdict::SoftwareUnknown:
         return "software_unknown";
     case core::EntryVerdict::Failed:
@@ -44,6 +50,34 @@
     return "unknown";
 }
 
+const char *nameOf(core::ProbeOutcome outcome)
+{
+    switch (outcome) {
+    case core::ProbeOutcome::Accepted:
+        return "accepted";
+    case core::ProbeOutcome::Refused:
+        return "refused";
+    case core::ProbeOutcome::Silent:
+        break;
+    }
+    return "silent";
+}
+
+const char *nameOf(core::CrashVerdict verdict)
+{
+    switch (verdict) {
+    case core::CrashVerdict::Clear:
+        return "clear";
+    case core::CrashVerdict::Suspected:
+        return "suspected";
+    case core::CrashVerdict::Paused:
+        return "paused";
+    case core::CrashVerdict::Quarantined:
+        break;
+    }
+    return "quarantined";
+}
+
 struct CallDuty
 {
     Parts &parts;
@@ -91,9 +125,11 @@
     {
         if (result.failure == net::SendFailure::None)
             return platform::decodeAttemptAnswer(operation, std::move(result));
-        return core::EntryAttemptFailed{operation, result.failure == net::SendFailure::NotSent
-                                                           ? core::EntryFailure::NotSent
-                                                           : core::EntryFailure::AnswerLost};
+        return core::EntryAttemptFailed{operation,
+                                        result.failure == net::SendFailure::NotSent
+                                                ? core::EntryFailure::NotSent
+                                                : core::EntryFailure::AnswerLost,
+                                        result.closedByServer};
     }
 
     void sendStream(const core::SendAttempt &attempt, net::HttpRequest &&request)
@@ -165,6 +201,37 @@
     void perform(core::StoreStreamOrigins &&action) { storeStreamOrigins(this->parts, action); }
     void perform(core::SweepStreamOrigins &&) { sweepStreamOrigins(this->parts, this->sweptUpTo); }
 
+    void perform(core::ProbeTargets &&probe)
+    {
+        net::probeTargets(*this->parts.targetClient, probe, connectTimeout,
+                          [this](core::TargetsProbed &&probed) { this->push(std::move(probed)); });
+    }
+
+    void perform(core::CrashCheckCompleted &&check)
+    {
+        this->parts.metrics.count(check.hasCrashed ? "target_crashes" : "target_crashes_excluded");
+        this->parts.logger.write("crash_checked", field("target", check.target.target.value),
+                                 field("started_at", check.target.startedAt),
+                                 field("probe", nameOf(check.outcome)),
+                                 field("crashed", check.hasCrashed));
+    }
+
+    void perform(core::CrashRecorded &&recorded)
+    {
+        this->parts.logger.write("crash_recorded", field("digest", recorded.record.request.value),
+                                 field("target", recorded.record.crashed.target.value),
+                                 field("crashes", recorded.judgement.crashes),
+                                 field("verdict", nameOf(recorded.judgement.verdict)));
+    }
+
+    void perform(core::CrashRecordsChanged &&changed)
+    {
+        this->parts.logger.write("crash_records_read", field("requests", changed.requests),
+                                 field("records", changed.records));
+    }
+
+    void perform(core::StoreCrashRecords &&action) { storeCrashRecords(this->parts, action); }
+
     void perform(core::RequestPermits &&request)
     {
         requestPermits(this->parts, request, "calls", [this](core::PermitsReceived &&received) {
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -63,6 +63,8 @@
 {
     if (row.name.key == weightOrderLeaseKey)
         return toRecord(codec::decodeWeightOrderLease(row.value, row.version));
+    if (codec::isCrashRecordKey(row.name.key))
+        return toRecord(codec::decodeCrashRecord(row.name.key, row.value));
     if (!row.name.key.starts_with(headPrefix))
         return core::FleetRecord(std::monostate{});
     const std::string id = row.name.key.substr(std::string_view(headPrefix).size());
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -1,6 +1,7 @@
 #include "routes.hpp"
 
 #include "batch_store.hpp"
+#include "crash_store.hpp"
 #include "peer_paths.hpp"
 #include "permit_link.hpp"
 #include "progress_messages.hpp"
@@ -104,6 +105,8 @@
         replyToPermitRequest(parts, message);
         return true;
     }
+    if (message.path == crashesPath)
+        return receiveCrashRecords(parts, message);
     if (message.path == progressPath)
         return parts.batches.inbox().tryPush(
                 core::BatchProgressRequested{message.token, {message.body}, true});
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -13,8 +13,8 @@
 /// Table of the heartbeats. Each node has a partition of its own, so that writes do not contend.
 inline constexpr const char *nodesTable = "nodes";
 inline constexpr const char *heartbeatKey = "beat";
-/// Table of the batch heads and the weight order lease, in one partition that each node reads in
-/// full.
+/// Table of the batch heads, the weight order lease and the crash records, in one partition that
+/// each node reads in full.
 inline constexpr const char *batchesTable = "batches";
 inline constexpr const char *headPrefix = "head/";
 inline constexpr const char *weightOrderLeaseKey = "lease/weight-orders";
--- a/packages/node/src/dispatch_duty.cpp
+++ b/packages/node/src/dispatch_duty.cpp
@@ -5,6 +5,7 @@
 #include <geraniumpulley/codec/claim_messages.hpp>
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
+#include <geraniumpulley/net/target_probe.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
 #include <fmt/format.h>
@@ -16,6 +17,8 @@
 namespace geraniumpulley::node {
 namespace {
 
+constexpr core::Duration probeTimeout = std::chrono::milliseconds(300);
+
 core::AttemptFailure toAttemptFailure(net::SendFailure failure)
 {
     return failure == net::SendFailure::NotSent ? core::AttemptFailure::NotSent
@@ -54,7 +57,8 @@
                                                net::HttpResult &&result)
     {
         if (result.failure != net::SendFailure::None)
-            return core::AttemptFailed{operation, toAttemptFailure(result.failure)};
+            return core::AttemptFailed{operation, toAttemptFailure(result.failure),
+                                       result.closedByServer};
         return core::TargetAnswered{operation, result.status, std::move(result.contentType),
                                     std::move(result.body)};
     }
@@ -159,6 +163,13 @@
         return core::ClaimsLoaded{load.operation, load.shard, std::move(rows.value())};
     }
 
+    void perform(core::ProbeTargets &&probe)
+    {
+        this->parts.metrics.count("crash_checks");
+        net::probeTargets(*this->parts.targetClient, probe, probeTimeout,
+                          [this](core::TargetsProbed &&probed) { this->push(std::move(probed)); });
+    }
+
     void perform(core::DispatchDrained &&)
     {
         this->parts.logger.write("calls_drained");
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -370,6 +370,51 @@
     }
 }
 
+// Each node that learns of the request anew would take down further workers.
+TEST_CASE("on the platform a request that crashes its workers reaches few of them, also after a "
+          "restart of all nodes")
+{
+    constexpr int workerCount = 8;
+    constexpr int maxCrashes = 3;
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    for (int i = 3; i <= workerCount; ++i)
+        fleet.startWorker(fmt::format("orders-{}", i), "orders", "");
+    REQUIRE(fleet.waitFor([&] { return isCalled(fleet, "orders-8", {"node-a"}); }));
+    int calls = 0;
+    const auto sendCrashing = [&](const std::string &node) {
+        return fleet.call(node, "POST", "/lookup/7", fmt::format("crashing-{}", calls++), "crash");
+    };
+    const auto crashCount = [&] {
+        int count = 0;
+        for (int i = 1; i <= workerCount; ++i) {
+            int status = 0;
+            count += fleet.process(fmt::format("orders-{}", i)).hasEnded(status) ? 1 : 0;
+        }
+        return count;
+    };
+    const auto areRecordsKnown = [&] {
+        return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [&](const std::string &node) {
+            return hasLogged(fleet, node, "event=crash_records_read requests=1 records=3");
+        });
+    };
+    REQUIRE(fleet.waitFor([&] {
+        sendCrashing("node-a");
+        return hasLogged(fleet, "node-a", "verdict=quarantined");
+    }));
+    REQUIRE(fleet.waitFor(areRecordsKnown));
+    for (const std::string &node : fleet.nodes)
+        CHECK(sendCrashing(node).status == 502);
+    CHECK(crashCount() <= maxCrashes);
+    killAndRestartAll(fleet);
+    REQUIRE(fleet.waitFor(areRecordsKnown));
+    for (const std::string &node : fleet.nodes) {
+        CHECK(sendCrashing(node).status == 502);
+        CHECK(fleet.call(node, "POST", "/lookup/7", "sound-" + node, "x").status == 200);
+    }
+    CHECK(crashCount() <= maxCrashes);
+}
+
 // Several nodes that each keep to the limit exceed it together.
 TEST_CASE("on the platform nodes together send a target no more than one and a half times the rate "
           "limit that it states")
--- a/tests/scenarios/cluster.hpp
+++ b/tests/scenarios/cluster.hpp
@@ -184,6 +184,7 @@
 void perform(Cluster &cluster, NodeProcess &node, const core::CommitClaims &action);
 void perform(Cluster &cluster, NodeProcess &node, const core::ReadClaimRow &action);
 void perform(Cluster &cluster, NodeProcess &node, const core::LoadClaims &action);
+void perform(Cluster &cluster, NodeProcess &node, const core::ProbeTargets &action);
 void perform(Cluster &cluster, NodeProcess &node, const core::DispatchDrained &action);
 void perform(Cluster &cluster, NodeProcess &node, const core::Generate &action);
 void perform(Cluster &cluster, NodeProcess &node, const core::Score &action);
--- a/tests/scenarios/cluster_dispatch.cpp
+++ b/tests/scenarios/cluster_dispatch.cpp
@@ -196,6 +196,9 @@
     });
 }
 
+// Targets of these scenarios close no connections.
+void perform(Cluster &, NodeProcess &, const core::ProbeTargets &) { }
+
 void perform(Cluster &cluster, NodeProcess &node, const core::LoadClaims &action)
 {
     cluster.store.readPrefix(codec::claimRowPrefix(action.shard), [&cluster, &node, action,
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -3,6 +3,7 @@
 #include <cpprest/json.h>
 #include <fmt/format.h>
 
+#include <cstdlib>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -18,6 +19,8 @@
 constexpr Duration timePerEvent = std::chrono::milliseconds(10);
 constexpr std::uint64_t minEventCount = 4;
 constexpr std::uint64_t eventCountRange = 9;
+// A request with this body ends the process.
+constexpr const char *crashingBody = "crash";
 
 // The text of an item and its number of events depend only on its id, so that tests can compute the
 // expected result.
@@ -112,6 +115,8 @@
             reply.headers.push_back({"X-Not-Executed", "1"});
             return reply;
         }
+        if (request.body == crashingBody)
+            std::_Exit(EXIT_FAILURE);
         this->executedRequestIds.push_back(value::string(requestId));
         reply.headers.push_back({"X-Server-Stamp", "stamp-" + requestId});
         if (this->model.empty()) {
