Serve clients of nodes that reach no target through their peers

Cause: a node's own connections were its only way to targets, and nothing but its death moved its work elsewhere. Class: failure detection that takes 'the other side is down' and 'I am cut off' for the same.

Change: failed or unanswered attempts call for a probe of targets of several services. If none accepts a connection, the node says so in its heartbeat. While some peer does reach targets, it sends each request through such a peer, which passes it on as it is and never relays it further; target choice, attempts, deadlines, permits and cancels stay with the node that took the request, so that 'not run' and at most once hold as before. Batches and the lease on weight orders are handed over, and no new ones are taken. If no node reaches a target, nothing is handed over: the targets are down.

Ruled out: an outage of one service (controls of another service), of all targets (no peer reaches one).

Not covered: streams of clients at such a node, and the native interface.

--- a/packages/codec/src/row_messages.cpp
+++ b/packages/codec/src/row_messages.cpp
@@ -27,6 +27,9 @@
 using CrashRecordsWire = std::tuple<std::vector<std::tuple<std::string, std::int64_t>>>;
 using HeartbeatWire = std::tuple<std::string, std::string, std::string, std::uint64_t,
                                  std::uint64_t, bool, std::uint32_t>;
+using ReachWire = std::tuple<bool>;
+using LongHeartbeatWire =
+        decltype(std::tuple_cat(std::declval<HeartbeatWire>(), std::declval<ReachWire>()));
 using WeightOrderLeaseWire = std::tuple<std::string, std::uint64_t>;
 using SubmittedBodyWire = std::tuple<std::string, std::string, std::string>;
 using RowCopyWire = std::tuple<int, std::string, std::string, std::uint64_t>;
@@ -197,22 +200,38 @@
     return records;
 }
 
+// Only a node that reaches no target writes the additional field, which earlier builds do not read:
+// to them such a node is dead.
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat)
 {
-    return pack(HeartbeatWire{heartbeat.node.id.value, heartbeat.node.address,
-                              heartbeat.node.dataCentre, heartbeat.node.incarnation,
-                              heartbeat.counter, heartbeat.leaving, heartbeat.capacityMillicores});
+    const HeartbeatWire wire{heartbeat.node.id.value,     heartbeat.node.address,
+                             heartbeat.node.dataCentre,   heartbeat.node.incarnation,
+                             heartbeat.counter,           heartbeat.leaving,
+                             heartbeat.capacityMillicores};
+    if (heartbeat.reachesTargets)
+        return pack(wire);
+    return pack(std::tuple_cat(wire, ReachWire{heartbeat.reachesTargets}));
 }
 
 core::Result<core::NodeHeartbeat> decodeHeartbeat(const std::string &bytes)
 {
-    const auto wire = unpack<HeartbeatWire>(bytes);
+    const auto decode = [](const auto &wire) {
+        core::NodeHeartbeat heartbeat;
+        heartbeat.node = {
+                {std::get<0>(wire)}, std::get<1>(wire), std::get<2>(wire), std::get<3>(wire)};
+        heartbeat.counter = std::get<4>(wire);
+        heartbeat.leaving = std::get<5>(wire);
+        heartbeat.capacityMillicores = std::get<6>(wire);
+        return heartbeat;
+    };
+    if (const auto wire = unpack<HeartbeatWire>(bytes))
+        return decode(wire.value());
+    const auto wire = unpack<LongHeartbeatWire>(bytes);
     if (!wire)
         return wire.error();
-    const auto &[id, address, dataCentre, incarnation, counter, leaving, capacityMillicores] =
-            wire.value();
-    return core::NodeHeartbeat{
-            {{id}, address, dataCentre, incarnation}, counter, leaving, capacityMillicores};
+    core::NodeHeartbeat heartbeat = decode(wire.value());
+    heartbeat.reachesTargets = std::get<7>(wire.value());
+    return heartbeat;
 }
 
 std::string encodeWeightOrderLease(const core::WeightOrderLease &lease)
--- a/packages/codec/tests/unit-decoders_fuzz.cpp
+++ b/packages/codec/tests/unit-decoders_fuzz.cpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/codec/peer_messages.hpp>
 #include <geraniumpulley/codec/permit_messages.hpp>
 #include <geraniumpulley/codec/platform_messages.hpp>
+#include <geraniumpulley/codec/relay_messages.hpp>
 #include <geraniumpulley/codec/row_messages.hpp>
 #include <geraniumpulley/codec/step_messages.hpp>
 #include <geraniumpulley/codec/target_messages.hpp>
@@ -40,6 +41,8 @@
     static_cast<void>(codec::decodeItemResult(bytes));
     static_cast<void>(codec::decodePartialText(bytes));
     static_cast<void>(codec::decodeStreamOrigin(bytes));
+    static_cast<void>(codec::decodeRelayedAttempt(bytes));
+    static_cast<void>(codec::decodeRelayedAnswer(bytes));
     static_cast<void>(codec::decodeCrashRecord("crash/r/1/t", bytes));
     static_cast<void>(codec::decodeCrashRecord(bytes, {}));
     static_cast<void>(codec::decodeCrashRecords(bytes));
@@ -96,6 +99,19 @@
             codec::encodeItemResult({{"i"}, core::ItemOutcome::Completed, "t", {{}, {}}, "s"}),
             codec::encodePartialText({1, "t", 3, {core::WeightVersion{2}}, {"v1"}}),
             codec::encodeStreamOrigin({{"v1"}, core::Duration(7)}),
+            codec::encodeRelayedAttempt({"i",
+                                         "a:1",
+                                         "GET",
+                                         "/",
+                                         "h",
+                                         "r",
+                                         "X",
+                                         {{"A", "b"}},
+                                         "c",
+                                         core::Duration(5),
+                                         true}),
+            codec::encodeRelayedAnswer(
+                    {codec::RelayedAnswer::Delivery::Answered, true, true, 200, {{"A", "b"}}, "c"}),
             codec::encodeCrashRecord({{"r"}, {{"t"}, 1}, core::Duration(7)}),
             codec::encodeCrashRecords({{{"r"}, {{"t"}, 1}, core::Duration(7)}}),
             codec::encodeHeartbeat({{{"node"}, "a:1", "zone", 7}, 9, true}),
--- a/packages/codec/tests/unit-row_messages.cpp
+++ b/packages/codec/tests/unit-row_messages.cpp
@@ -53,6 +53,9 @@
 {
     const core::NodeHeartbeat heartbeat{{{"node"}, "a:1", "zone", 7}, 9, true, 500};
     const auto decodedHeartbeat = codec::decodeHeartbeat(codec::encodeHeartbeat(heartbeat));
+    core::NodeHeartbeat cutOff = heartbeat;
+    cutOff.reachesTargets = false;
+    CHECK(codec::decodeHeartbeat(codec::encodeHeartbeat(cutOff)).value() == cutOff);
     REQUIRE(decodedHeartbeat.has_value());
     CHECK(decodedHeartbeat.value().node == heartbeat.node);
     CHECK(decodedHeartbeat.value().counter == 9);
--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -98,6 +98,7 @@
     /// What the engine's answer states about its rate limit; null if there is no answer, or if the
     /// head of the answer was reported by `RunHeadReceived`.
     std::optional<RateStatement> rateStatement = {};
+    bool hasConnectionFailed = false; ///< There is no complete answer.
 };
 /// The store has answered a `StoreSubmission`, or did not answer in time.
 struct SubmissionStored
@@ -307,7 +308,8 @@
         std::variant<StoreSubmission, StoreResults, StoreHead, LoadBatch, ReadResults, RemoveBatch,
                      StartRun, CancelRun, ScoreRequested, AnswerBatchSubmission, AnswerResults,
                      AnswerItemBody, AnswerBatchProgress, ForwardProgressRequest, AnswerBatchEnd,
-                     OwnershipChanged, BatchesDrained, RateLimitChanged, RequestPermits>;
+                     OwnershipChanged, BatchesDrained, RateLimitChanged, RequestPermits,
+                     EngineUnreached>;
 
 /// \return the state of a node without a directory, which answers submissions with
 /// `StoreUnavailable`.
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/core/batch/batch.hpp>
 #include <geraniumpulley/core/calls/crash_suspects.hpp>
 #include <geraniumpulley/core/calls/load_balancing.hpp>
+#include <geraniumpulley/core/calls/reachability.hpp>
 #include <geraniumpulley/core/calls/target_health.hpp>
 #include <geraniumpulley/core/calls/target_probe.hpp>
 #include <geraniumpulley/core/entry/stream_origins.hpp>
@@ -129,6 +130,11 @@
     ReplyToken reply{};
     std::optional<SoftwareVersion> software; ///< Null if it is unknown or the store did not answer.
 };
+/// A run of a batch was not sent, or its connection failed.
+struct EngineUnreached
+{
+    TargetId target;
+};
 struct EntryDirectoryChanged
 {
     DirectoryPointer directory;
@@ -141,7 +147,8 @@
         std::variant<EntryCallReceived, CallerDisconnected, AttemptAnswered, StreamHeadReceived,
                      StreamEventReceived, StreamEnded, EntryAttemptFailed, ScoreRequested,
                      PermitsReceived, StreamOriginFound, StreamOriginsStored, TargetsProbed,
-                     CrashRecordsStored, CrashRecordsReceived, EntryDirectoryChanged, EntryTick>;
+                     CrashRecordsStored, CrashRecordsReceived, EngineUnreached,
+                     EntryDirectoryChanged, EntryTick>;
 
 // Actions
 
@@ -157,6 +164,8 @@
             false; ///< A keep-alive connection may be used, since the request may run twice.
     std::uint64_t lastEventId = 0; ///< The last stream event that the caller received.
     Duration silenceLimit{}; ///< Time without an event after which a stream is given up.
+    /// The request goes through a node that reaches targets, if there is one.
+    bool isRelayed = false;
 };
 /// Looks up in the store which software began a stream that a client takes up.
 struct FindStreamOrigin
@@ -252,6 +261,11 @@
     CrashRecord record;
     CrashJudgement judgement;
 };
+/// Reports that this node can no longer open connections to targets, or can again.
+struct ReachChanged
+{
+    bool reachesTargets = true;
+};
 /// Reports that the crash records in the store have changed, for the log.
 struct CrashRecordsChanged
 {
@@ -263,7 +277,7 @@
         std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead, SendStreamEvent,
                      EndStream, ScoreCompleted, RateLimitChanged, RequestPermits, FindStreamOrigin,
                      StoreStreamOrigins, SweepStreamOrigins, ProbeTargets, CrashCheckCompleted,
-                     CrashRecorded, CrashRecordsChanged, StoreCrashRecords>;
+                     CrashRecorded, CrashRecordsChanged, StoreCrashRecords, ReachChanged>;
 
 struct EntrySettings
 {
@@ -287,6 +301,7 @@
     TargetId target;
     ReplyToken reply{}; ///< The request's key in `EntryState::requests`.
     bool cancelled = false;
+    bool isRelayed = false; ///< Sent through another node.
     bool runsAlone = false; ///< The request is suspected of crashing targets.
     SoftwareVersion software; ///< The target's software.
     std::uint64_t targetStartedAt = 0; ///< As in `FleetTarget`.
@@ -352,6 +367,7 @@
     /// This node's attempts in flight whose requests are suspected of crashing targets.
     std::map<TargetId, std::uint32_t> suspectsPerTarget;
     CrashSuspects suspects;
+    Reachability reachability;
     RandomSource random;
     OperationId nextOperation{1};
     std::uint64_t nextScoreNumber = 0;
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -39,6 +39,7 @@
     /// The requests that were running when targets crashed; null until they have been read.
     std::shared_ptr<const CrashLog> crashes;
     Presence presence;
+    bool reachesTargets = true; ///< Whether this node can open connections to targets.
     /// Until this time no other node can have taken over the batches that this node owns, so this
     /// node can answer from its own state of them.
     Time ownershipValidUntil{};
@@ -48,4 +49,11 @@
 
 using DirectoryPointer = std::shared_ptr<const Directory>;
 
+/// \return whether this node reaches no target although other nodes do. If none does, the targets
+/// are down.
+inline bool isCutOff(const Directory &directory, Time now)
+{
+    return !directory.reachesTargets && !peersThatReachTargets(directory.presence, now).empty();
+}
+
 } // namespace geraniumpulley::core
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -103,6 +103,11 @@
 struct MachineSuspended
 {
 };
+/// This node can no longer open connections to targets, or can again.
+struct TargetReachChanged
+{
+    bool reachesTargets = true;
+};
 /// This node is shutting down: it acquires no lease and releases the one that it holds.
 struct FleetDraining
 {
@@ -111,10 +116,10 @@
 {
 };
 
-using FleetEvent =
-        std::variant<TableReadCompleted, TableReadFailed, PeerTablesReceived,
-                     HeartbeatWriteCompleted, WeightOrderLeaseWriteCompleted, EngineStateReceived,
-                     WeightOrderReplyReceived, MachineSuspended, FleetDraining, FleetTick>;
+using FleetEvent = std::variant<TableReadCompleted, TableReadFailed, PeerTablesReceived,
+                                HeartbeatWriteCompleted, WeightOrderLeaseWriteCompleted,
+                                EngineStateReceived, WeightOrderReplyReceived, MachineSuspended,
+                                TargetReachChanged, FleetDraining, FleetTick>;
 
 // Actions
 
@@ -214,9 +219,11 @@
     std::optional<Duration> storeClockOffset;
     bool heartbeatInFlight = false; ///< Whether a write of a heartbeat is in flight.
     bool leaseWriteInFlight = false;
+    bool leaseReleaseInFlight = false; ///< Whether the last write of the lease releases it.
     bool targetsKnown = false;
     bool batchesKnown = false;
     bool draining = false;
+    bool reachesTargets = true; ///< Whether this node can open connections to targets.
     /// Whether anything but heartbeats differs from `published`.
     bool contentChanged = false;
     bool targetsChanged = false; ///< Whether the targets differ from those in `published`.
--- a/packages/core/include/geraniumpulley/core/fleet/presence.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/presence.hpp
@@ -19,6 +19,7 @@
     bool leaving = false; ///< Whether the node is shutting down and takes over no work.
     /// The CPU capacity in thousandths of a core; 0 if unknown.
     std::uint32_t capacityMillicores = 0;
+    bool reachesTargets = true; ///< Whether the node can open connections to targets.
 
     bool operator==(const NodeHeartbeat &) const = default;
 };
@@ -68,8 +69,11 @@
 /// \return the nodes that can take over work, ordered by id.
 std::vector<Node> liveNodes(const Presence &presence, Time now);
 
-/// \return the same nodes in the order in which they take over the work of a key: by rendezvous
-/// hashing, with nodes of low CPU capacity last.
+/// \return the live nodes but this one that reach targets, ordered by id.
+std::vector<Node> peersThatReachTargets(const Presence &presence, Time now);
+
+/// \return the live nodes in the order in which they take over the work of a key: by rendezvous
+/// hashing, with nodes of low CPU capacity behind the others, and those that reach no target last.
 std::vector<Node> rankNodes(const Presence &presence, const std::string &key, Time now);
 
 /// \return this node's index in the result of `rankNodes`.
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -73,7 +73,11 @@
 void loadBatch(BatchContext &context, const BatchId &id, bool opensBatch);
 /// Retries the reads of batches that failed.
 void advanceLoads(BatchContext &context);
-/// On a draining node, releases the owned batches together with their partial texts.
+/// \return whether this node hands its batches to other nodes: it drains, or it reaches no target
+/// while others do.
+bool releasesBatches(const BatchState &state, Time now);
+/// If this node hands its batches over, releases the owned batches together with their partial
+/// texts.
 void advanceReleases(BatchContext &context);
 
 // batch_runs.cpp
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -90,11 +90,11 @@
 
 // While a commit is in flight no other write of the batch is due: the store's answer triggers the
 // next one. Only times at which a tick can act may count, otherwise ticks would repeat immediately.
-void addBatchTimes(const OwnedBatch &batch, bool draining, EarliestTime &earliest)
+void addBatchTimes(const OwnedBatch &batch, bool isReleasing, EarliestTime &earliest)
 {
     if (batch.commit && !batch.commit->inFlight)
         earliest.add(batch.commit->retryAt);
-    if (draining && !batch.releaseInFlight && !batch.commit)
+    if (isReleasing && !batch.releaseInFlight && !batch.commit)
         earliest.add(batch.releaseRetryAt);
     for (const ResultWaiter &waiter : batch.waiters)
         earliest.add(waiter.deadline);
@@ -185,8 +185,9 @@
 std::optional<Time> dueAt(const BatchState &state, Time now)
 {
     EarliestTime earliest;
+    const bool isReleasing = releasesBatches(state, now);
     for (const auto &[id, batch] : state.ownedBatches)
-        addBatchTimes(batch, state.draining, earliest);
+        addBatchTimes(batch, isReleasing, earliest);
     for (const auto &[id, submission] : state.pendingSubmissions) {
         if (!submission.inFlight)
             earliest.add(submission.retryAt);
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -79,7 +79,7 @@
     const bool isOwnerless =
             head.owner.value.empty()
             || isDead(state.directory->presence, head.owner, head.ownerIncarnation, context.now);
-    if (!isOwnerless || state.draining) {
+    if (!isOwnerless || releasesBatches(state, context.now)) {
         state.pendingTakeovers.erase(head.id);
         return;
     }
@@ -111,8 +111,8 @@
     closeBatch(context, head.id, head.ended ? OwnershipChange::Ended : OwnershipChange::Superseded);
 }
 
-// Releases a batch that was assigned to this draining node by a node that did not yet know of the
-// drain.
+// Releases a batch that was assigned to this node by a node that did not yet know that this one
+// drains or is cut off.
 void releaseAssigned(BatchContext &context, const BatchHead &head)
 {
     PendingTakeover &takeover = context.state.pendingTakeovers[head.id];
@@ -141,7 +141,7 @@
     if (head.ended) {
         state.pendingTakeovers.erase(head.id);
     } else if (isOwnHead(context, head)) {
-        if (state.draining)
+        if (releasesBatches(state, context.now))
             releaseAssigned(context, head);
         else
             loadBatch(context, head.id, true);
@@ -176,6 +176,11 @@
 
 } // namespace
 
+bool releasesBatches(const BatchState &state, Time now)
+{
+    return state.draining || (state.directory && isCutOff(*state.directory, now));
+}
+
 void openBatch(BatchContext &context, const BatchHead &head, std::shared_ptr<const BatchSpec> spec,
                const StoredBatch *stored)
 {
@@ -297,7 +302,7 @@
 
 void advanceReleases(BatchContext &context)
 {
-    if (!context.state.draining)
+    if (!releasesBatches(context.state, context.now))
         return;
     for (auto &[id, batch] : context.state.ownedBatches) {
         if (batch.releaseInFlight || batch.commit || batch.releaseRetryAt > context.now)
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -310,7 +310,7 @@
 
 void startRuns(BatchContext &context)
 {
-    if (!context.state.draining && context.state.directory)
+    if (context.state.directory && !releasesBatches(context.state, context.now))
         startWaiting(context);
     startScores(context);
 }
@@ -383,6 +383,8 @@
         noteRateLimit(context, record.target, event.rateStatement->limit);
     if (record.cancelled)
         return;
+    if (event.hasConnectionFailed)
+        context.actions.emplace_back(EngineUnreached{record.target});
     OwnedBatch &batch = context.state.ownedBatches.at(record.batch);
     ItemState &item = batch.items[record.itemIndex];
     const BatchSettings &settings = context.state.settings;
--- a/packages/core/src/calls/crash_probe.cpp
+++ b/packages/core/src/calls/crash_probe.cpp
@@ -4,8 +4,8 @@
 
 namespace geraniumpulley::core {
 
-ProbeTargets makeCrashProbe(OperationId operation, const Target &target,
-                            const std::vector<const Target *> &targets, RandomSource &random)
+ProbeTargets makeControlledProbe(OperationId operation, const Target &target,
+                                 const std::vector<const Target *> &targets, RandomSource &random)
 {
     std::vector<const Target *> sameService;
     std::vector<const Target *> otherServices;
--- a/packages/core/src/calls/crash_probe.hpp
+++ b/packages/core/src/calls/crash_probe.hpp
@@ -10,8 +10,8 @@
 
 /// Makes the probe of a target, together with a target of another service and one of the same, if
 /// there are any, as controls. Complexity: linear in `targets`.
-ProbeTargets makeCrashProbe(OperationId operation, const Target &target,
-                            const std::vector<const Target *> &targets, RandomSource &random);
+ProbeTargets makeControlledProbe(OperationId operation, const Target &target,
+                                 const std::vector<const Target *> &targets, RandomSource &random);
 
 /// \return whether such a probe shows that its target has crashed. If no control accepts a
 /// connection, it is this node that is cut off.
--- a/packages/core/src/calls/dispatch.cpp
+++ b/packages/core/src/calls/dispatch.cpp
@@ -336,7 +336,7 @@
                                              digestOfCall(call.attempt.call));
         if (check == newCheck) {
             this->state.nextOperation = next(newCheck);
-            this->actions.push_back(makeCrashProbe(check, *lost, targets, this->state.random));
+            this->actions.push_back(makeControlledProbe(check, *lost, targets, this->state.random));
         }
         return check;
     }
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -85,6 +85,8 @@
         const auto attempt = this->removeAttempt(event.operation);
         if (!attempt)
             return;
+        if (!attempt->isRelayed)
+            recordReached(this->state.reachability, this->now);
         if (event.load)
             this->state.reportedWaiting[attempt->target] = event.load->waiting;
         if (event.answer.status != status::misdirected)
@@ -119,6 +121,7 @@
         const auto attempt = this->state.attempts.find(event.operation);
         if (attempt == this->state.attempts.end() || attempt->second.cancelled)
             return;
+        recordReached(this->state.reachability, this->now);
         this->noteRateLimit(attempt->second.target, event.rateLimit);
         const auto position = this->state.requests.find(attempt->second.reply);
         EntryRequest &request = position->second;
@@ -204,8 +207,12 @@
             return;
         const auto position = this->state.requests.find(attempt->reply);
         const bool isPending = position != this->state.requests.end();
-        // A failure caused by a caller's short deadline does not show that the target is faulty.
-        if (!attempt->cancelled && !(isPending && position->second.deadline <= this->now))
+        if (!attempt->cancelled && !attempt->isRelayed)
+            recordUnreached(this->state.reachability, attempt->target);
+        // A failure caused by a caller's short deadline does not show that the target is faulty,
+        // and one of a relayed attempt may be the peer's.
+        if (!attempt->cancelled && !attempt->isRelayed
+            && !(isPending && position->second.deadline <= this->now))
             this->recordTargetResult(*attempt, false);
         if (attempt->cancelled || !isPending)
             return;
@@ -218,8 +225,15 @@
         this->retryAfterLoss(position);
     }
 
+    void operator()(const EngineUnreached &event)
+    {
+        recordUnreached(this->state.reachability, event.target);
+    }
+
     void operator()(const TargetsProbed &event)
     {
+        if (this->state.reachability.probe == event.operation)
+            return this->completeReachProbe(event);
         const auto check = this->state.suspects.checks.find(event.operation);
         if (check == this->state.suspects.checks.end() || event.outcomes.empty())
             return;
@@ -284,13 +298,76 @@
         }
         for (const ReplyToken reply : due) {
             const auto position = this->state.requests.find(reply);
-            if (position->second.deadline <= this->now)
+            if (position->second.deadline <= this->now) {
                 this->expireRequest(position);
-            else
-                this->sendNextAttempt(position);
+                continue;
+            }
+            this->noteUnansweredAttempts(position->second);
+            this->sendNextAttempt(position);
         }
     }
 
+    // A hedged attempt is due because the others are not answered as soon as usual.
+    void noteUnansweredAttempts(const EntryRequest &request)
+    {
+        for (const OperationId operation : request.openAttempts) {
+            const EntryAttempt &attempt = this->state.attempts.at(operation);
+            if (!attempt.isRelayed)
+                recordUnreached(this->state.reachability, attempt.target);
+        }
+    }
+
+    // What this node has observed of targets before a change says nothing about them any more.
+    void completeReachProbe(const TargetsProbed &event)
+    {
+        if (!recordProbe(this->state.reachability, event, this->now))
+            return;
+        this->state.health.clear();
+        const bool isCutOff = this->state.reachability.isCutOff;
+        this->actions.emplace_back(ReachChanged{!isCutOff});
+        if (isCutOff)
+            this->repeatUnansweredAttempts();
+    }
+
+    // Attempts that were sent into a cut do not count.
+    void repeatUnansweredAttempts()
+    {
+        std::vector<ReplyToken> repeated;
+        for (auto &[reply, request] : this->state.requests) {
+            if (!request.repeatable || request.kind == RouteKind::Stream
+                || request.openAttempts.empty())
+                continue;
+            for (const OperationId operation : request.openAttempts) {
+                this->state.attempts.at(operation).cancelled = true;
+                this->actions.emplace_back(CancelAttempt{operation});
+                --request.attemptCount;
+            }
+            request.openAttempts.clear();
+            repeated.push_back(reply);
+        }
+        for (const ReplyToken reply : repeated)
+            this->sendNextAttempt(this->state.requests.find(reply));
+    }
+
+    // Runs after each event.
+    void probeReachability()
+    {
+        Reachability &reachability = this->state.reachability;
+        const Directory *directory = this->state.directory.get();
+        if (directory == nullptr || directory->targets->empty()
+            || !isProbeDue(reachability, this->now))
+            return;
+        std::vector<const Target *> targets;
+        for (const auto &[id, target] : *directory->targets)
+            targets.push_back(&target.target);
+        const OperationId operation = this->state.nextOperation;
+        this->state.nextOperation = next(operation);
+        reachability.probe = operation;
+        const Target &first = *targets[draw(this->state.random, targets.size())];
+        this->actions.emplace_back(
+                makeControlledProbe(operation, first, targets, this->state.random));
+    }
+
     void acceptRequest(ReplyToken reply, EntryRequest request)
     {
         const Directory *directory = this->state.directory.get();
@@ -475,10 +552,11 @@
                 silenceLimit(request.minSilenceLimit,
                              pause == this->state.eventPauses.end() ? Duration{} : pause->second,
                              request.silentAttempts);
+        attempt.isRelayed = this->state.reachability.isCutOff && request.kind != RouteKind::Stream;
         this->actions.emplace_back(SendAttempt{operation, target, request.call, request.deadline,
                                                request.kind == RouteKind::Stream,
                                                request.repeatable, request.lastEventId,
-                                               attempt.silenceLimit});
+                                               attempt.silenceLimit, attempt.isRelayed});
         const bool mayHedge = !attempt.runsAlone;
         this->state.attempts.emplace(operation, std::move(attempt));
         if (mayHedge && request.repeatable && request.kind != RouteKind::Stream
@@ -570,7 +648,7 @@
         for (const auto &[id, known] : targets)
             controls.push_back(&known.target);
         this->actions.emplace_back(
-                makeCrashProbe(check, target->second.target, controls, this->state.random));
+                makeControlledProbe(check, target->second.target, controls, this->state.random));
     }
 
     void recordCrash(const CrashRecord &record)
@@ -811,6 +889,7 @@
     for (const RequestPermits &request : duePermitRequests(state.permits, now))
         handler.actions.emplace_back(request);
     handler.maintainCrashRecords();
+    handler.probeReachability();
     handler.maintainStreamOrigins();
     return std::move(handler.actions);
 }
@@ -818,7 +897,8 @@
 std::optional<Time> dueAt(const EntryState &state)
 {
     std::optional<Time> due = dueAt(state.permits);
-    for (const auto partDueAt : {dueAt(state.streamOrigins), dueAt(state.suspects)}) {
+    for (const auto partDueAt :
+         {dueAt(state.streamOrigins), dueAt(state.suspects), dueAt(state.reachability)}) {
         if (partDueAt)
             due = std::min(due.value_or(*partDueAt), *partDueAt);
     }
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -39,8 +39,8 @@
 
 bool canSendOrders(const FleetState &state, Time now)
 {
-    return holdsLease(state) && !state.draining && now >= state.ordersAllowedFrom
-           && now < state.ownershipValidUntil;
+    return holdsLease(state) && !state.draining && state.reachesTargets
+           && now >= state.ordersAllowedFrom && now < state.ownershipValidUntil;
 }
 
 // Keeps the object of the last snapshot if the value is the same.
@@ -108,7 +108,7 @@
         const bool hadOtherHolder =
                 state.lease.version != RowVersion{} && state.lease.holder != state.settings.self.id;
         state.lease = {state.settings.self.id, state.settings.self.incarnation, event.version};
-        if (state.draining)
+        if (state.leaseReleaseInFlight)
             state.lease.holder = {};
         state.ordersAllowedFrom =
                 hadOtherHolder ? this->now + state.settings.leaseDuration : this->now;
@@ -138,6 +138,13 @@
         this->state.presenceChanged = true;
     }
 
+    void operator()(const TargetReachChanged &event)
+    {
+        this->state.reachesTargets = event.reachesTargets;
+        this->state.nextHeartbeatAt = this->now;
+        this->state.contentChanged = true;
+    }
+
     void operator()(const FleetDraining &)
     {
         this->state.draining = true;
@@ -206,7 +213,7 @@
         ++state.heartbeatCounter;
         this->actions.emplace_back(
                 WriteHeartbeat{{state.settings.self, state.heartbeatCounter, state.draining,
-                                state.settings.capacityMillicores}});
+                                state.settings.capacityMillicores, state.reachesTargets}});
     }
 
     // Acquires the lease if no live node holds it, and releases it when this node drains.
@@ -218,8 +225,11 @@
         if (!state.batchesKnown || !isFeedRead || state.leaseWriteInFlight
             || this->now < state.leaseRetryAt)
             return;
+        // While no node reaches a target, the holder keeps the lease.
+        const bool isCutOff =
+                !state.reachesTargets && !peersThatReachTargets(state.presence, this->now).empty();
         if (holdsLease(this->state)) {
-            if (state.draining)
+            if (state.draining || isCutOff)
                 this->writeLease({{}, 0, {}});
             return;
         }
@@ -227,7 +237,7 @@
         const bool isLeaseFree =
                 lease.holder.value.empty()
                 || isDead(state.presence, lease.holder, lease.incarnation, this->now);
-        if (!isLeaseFree || state.draining) {
+        if (!isLeaseFree || state.draining || isCutOff) {
             state.leaseFreeSince.reset();
             return;
         }
@@ -241,6 +251,7 @@
     void writeLease(WeightOrderLease lease)
     {
         this->state.leaseWriteInFlight = true;
+        this->state.leaseReleaseInFlight = lease.holder.value.empty();
         this->actions.emplace_back(
                 WriteWeightOrderLease{std::move(lease), this->state.lease.version});
     }
@@ -267,6 +278,7 @@
         next.presence = state.presence;
         if (state.presenceChanged)
             this->updateReadPeriods();
+        next.reachesTargets = state.reachesTargets;
         next.ownershipValidUntil = state.ownershipValidUntil;
         next.storeClockOffset = state.storeClockOffset;
         this->actions.emplace_back(
--- a/packages/core/src/fleet/presence.cpp
+++ b/packages/core/src/fleet/presence.cpp
@@ -82,6 +82,17 @@
     return nodes;
 }
 
+std::vector<Node> peersThatReachTargets(const Presence &presence, Time now)
+{
+    std::vector<Node> nodes;
+    for (const auto &[id, known] : presence.nodes) {
+        if (id != presence.self && known.heartbeat.reachesTargets
+            && canTakeOver(presence, known, now))
+            nodes.push_back(known.heartbeat.node);
+    }
+    return nodes;
+}
+
 std::vector<Node> rankNodes(const Presence &presence, const std::string &key, Time now)
 {
     std::vector<const NodeHeartbeat *> heartbeats;
@@ -94,8 +105,8 @@
     }
     const auto rankOf = [&](const NodeHeartbeat &heartbeat) {
         const bool isLarge = heartbeat.capacityMillicores >= maxCapacity * minCapacityPercent / 100;
-        return std::tuple(!isLarge, ~rendezvousScore(key, heartbeat.node.id.value),
-                          heartbeat.node.id);
+        return std::tuple(!heartbeat.reachesTargets, !isLarge,
+                          ~rendezvousScore(key, heartbeat.node.id.value), heartbeat.node.id);
     };
     std::sort(heartbeats.begin(), heartbeats.end(),
               [&](const NodeHeartbeat *a, const NodeHeartbeat *b) {
--- a/packages/core/tests/batch/unit-batch_runs.cpp
+++ b/packages/core/tests/batch/unit-batch_runs.cpp
@@ -259,3 +259,26 @@
     REQUIRE(fixture.startedRuns.size() == 3);
     CHECK(fixture.startedRuns[2].target.id == TargetId{"joined"});
 }
+
+TEST_CASE("a node that alone reaches no target hands its batches over, and keeps them in an outage "
+          "of "
+          "all targets")
+{
+    for (const bool peerReaches : {true, false}) {
+        CAPTURE(peerReaches);
+        SingleBatchFixture fixture;
+        auto directory = std::make_shared<Directory>(*fixture.state.directory);
+        directory->reachesTargets = false;
+        NodeHeartbeat peer{{{"peer"}, "peer:1", "zone", 1}, 1, false};
+        peer.reachesTargets = peerReaches;
+        recordHeartbeat(directory->presence, peer, fixture.now);
+        fixture.send(BatchDirectoryChanged{directory});
+        const auto release = std::find_if(fixture.actions.begin(), fixture.actions.end(),
+                                          [](const BatchAction &action) {
+                                              return std::holds_alternative<StoreHead>(action);
+                                          });
+        REQUIRE((release != fixture.actions.end()) == peerReaches);
+        if (peerReaches)
+            CHECK(std::get<StoreHead>(*release).head.owner.value.empty());
+    }
+}
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -370,3 +370,32 @@
         CHECK(readsPerSecond * nodes < maxReadsPerSecond);
     }
 }
+
+TEST_CASE(
+        "a node that alone reaches no target releases the lease, and keeps it in an outage of all")
+{
+    for (const bool peerReaches : {true, false}) {
+        CAPTURE(peerReaches);
+        FleetFixture fixture;
+        fixture.read(FleetTable::Batches, true, {});
+        fixture.confirmHeartbeat(1);
+        fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Committed, RowVersion{8}});
+        NodeHeartbeat peer{{{"peer"}, "peer:1", "zone", 1}, 1, false};
+        peer.reachesTargets = peerReaches;
+        fixture.read(FleetTable::Nodes, false, {{"beat", RowVersion{9}, peer}});
+        fixture.now += 1s;
+        fixture.send(TargetReachChanged{false});
+        const auto *heartbeat = fixture.find<WriteHeartbeat>();
+        REQUIRE(heartbeat != nullptr);
+        CHECK_FALSE(heartbeat->heartbeat.reachesTargets);
+        const auto *write = fixture.find<WriteWeightOrderLease>();
+        REQUIRE((write != nullptr) == peerReaches);
+        if (write == nullptr)
+            continue;
+        CHECK(write->lease.holder.value.empty());
+        fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Committed, RowVersion{10}});
+        fixture.now += 1s;
+        fixture.send(FleetTick{});
+        CHECK(fixture.find<WriteWeightOrderLease>() == nullptr);
+    }
+}
--- a/packages/core/tests/fleet/unit-presence.cpp
+++ b/packages/core/tests/fleet/unit-presence.cpp
@@ -139,3 +139,22 @@
     }
     CHECK(owners.size() >= 8);
 }
+
+TEST_CASE("nodes that reach no target take work over last and are no peers for requests")
+{
+    Presence presence = makePresence({"self"}, {}, start);
+    recordHeartbeat(presence, makeHeartbeat("self", 1, 1), start);
+    for (const char *id : {"a", "b"})
+        recordHeartbeat(presence, makeHeartbeat(id, 1, 1), start);
+    const NodeId first = rankNodes(presence, "key", start).front().id;
+    NodeHeartbeat cutOff = makeHeartbeat(first.value, 1, 2);
+    cutOff.reachesTargets = false;
+    recordHeartbeat(presence, cutOff, start);
+    CHECK(rankNodes(presence, "key", start).back().id == first);
+    CHECK(liveNodes(presence, start).size() == 3);
+    for (const Node &node : peersThatReachTargets(presence, start)) {
+        CHECK(node.id != first);
+        CHECK(node.id.value != "self");
+    }
+    CHECK(peersThatReachTargets(presence, start).size() == (first.value == "self" ? 2 : 1));
+}
--- /dev/null
+++ b/packages/entry/src/attempt_relay.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <geraniumpulley/codec/relay_messages.hpp>
+#include <geraniumpulley/core/fleet/directory.hpp>
+#include <geraniumpulley/net/http_client.hpp>
+#include <geraniumpulley/net/peer_link.hpp>
+#include <geraniumpulley/runtime/metrics.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace geraniumpulley::entry {
+
+/// Sends requests through other nodes while this one reaches no target, and sends those of other
+/// nodes. A request is relayed once only. Thread-safe.
+class AttemptRelay
+{
+public:
+    AttemptRelay(net::HttpClient &client, net::PeerLink &peers, runtime::Metrics &metrics,
+                 std::string selfId);
+
+    /// Sends a request through a peer. The peer's failure to take it is a `NotSent`.
+    void send(const core::Node &peer, std::uint64_t operation, net::HttpRequest &&request);
+
+    /// Cancels a request that was sent through a peer.
+    /// \return false if it was not, or has completed.
+    bool cancel(std::uint64_t operation);
+
+    /// Sends a request of another node, and replies to it.
+    void serve(const net::PeerMessage &message);
+
+    /// Cancels a request of another node.
+    void serveCancel(const net::PeerMessage &message);
+
+private:
+    std::string relayIdOf(std::uint64_t operation) const;
+    std::optional<net::CancelKey> admit(const std::string &relayId);
+    void finish(const std::string &relayId);
+
+    net::HttpClient &client;
+    net::PeerLink &peers;
+    runtime::Metrics &metrics;
+    std::string selfId;
+    std::mutex mutex;
+    std::map<std::uint64_t, std::string> peerAddresses; ///< Of this node's relayed requests.
+    std::map<std::string, net::CancelKey> served; ///< Requests of other nodes in flight.
+    std::uint64_t nextKey = 0;
+};
+
+/// \return a random node that reaches targets, or nothing if no live peer does.
+std::optional<core::Node> chooseRelayPeer(const core::Presence &presence, std::uint64_t draw,
+                                          core::Time now);
+
+} // namespace geraniumpulley::entry
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -107,7 +107,8 @@
                         sentAt = runtime::now()](net::HttpResult &&result) {
             const core::RunEnd end = platform::decodeRunEnd(result, *buffer);
             this->logRunEnd(item, target, result, end, runtime::now() - sentAt);
-            this->push(core::RunEnded{id, end, platform::decodeRateStatement(result)});
+            this->push(core::RunEnded{id, end, platform::decodeRateStatement(result),
+                                      result.failure != net::SendFailure::None});
         };
         this->parts.engineClient->send(std::move(request));
     }
@@ -207,6 +208,12 @@
                                  field("total", change.itemCount));
     }
 
+    // A full ring drops the notice; further runs fail if the engines cannot be reached.
+    void perform(core::EngineUnreached &&unreached)
+    {
+        static_cast<void>(this->parts.calls.inbox().tryPush(std::move(unreached)));
+    }
+
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
     void perform(core::RequestPermits &&request)
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -102,6 +102,14 @@
             this->logAttempt(attempt, result, runtime::now() - sentAt);
             this->push(toEvent(attempt.operation, std::move(result)));
         };
+        const core::DirectoryPointer directory = this->parts.directory.get();
+        const auto peer = attempt.isRelayed && directory
+                                  ? chooseRelayPeer(directory->presence,
+                                                    core::number(attempt.operation), runtime::now())
+                                  : std::nullopt;
+        if (peer)
+            return this->parts.attemptRelay->send(*peer, core::number(attempt.operation),
+                                                  std::move(request));
         this->parts.targetClient->send(std::move(request));
     }
 
@@ -113,12 +121,12 @@
         constexpr std::uint32_t minErrorStatus = 400;
         if (result.failure == net::SendFailure::None && result.status < minErrorStatus)
             return;
-        this->parts.logger.write("attempt_failed", field("request", attempt.call->requestId),
-                                 field("target", attempt.target.id.value),
-                                 field("status", result.status),
-                                 field("failure", static_cast<int>(result.failure)),
-                                 field("closed_by_target", result.closedByServer),
-                                 field("after_ms", elapsed.count() / 1000));
+        this->parts.logger.write(
+                "attempt_failed", field("request", attempt.call->requestId),
+                field("target", attempt.target.id.value), field("status", result.status),
+                field("failure", static_cast<int>(result.failure)),
+                field("closed_by_target", result.closedByServer),
+                field("relayed", attempt.isRelayed), field("after_ms", elapsed.count() / 1000));
     }
 
     static core::EntryEvent toEvent(core::OperationId operation, net::HttpResult &&result)
@@ -162,10 +170,18 @@
 
     void perform(core::CancelAttempt &&cancel)
     {
+        if (this->parts.attemptRelay->cancel(core::number(cancel.operation)))
+            return;
         if (!this->parts.targetClient->cancel(cancelKeyOf(cancel.operation)))
             this->parts.metrics.count("cancels_dropped");
     }
 
+    void perform(core::ReachChanged &&changed)
+    {
+        this->parts.logger.write(changed.reachesTargets ? "targets_regained" : "targets_lost");
+        this->parts.fleet.deliver(core::TargetReachChanged{changed.reachesTargets});
+    }
+
     void perform(core::AnswerEntryCall &&answer)
     {
         this->parts.metrics.count(std::string("calls_") + nameOf(answer.verdict));
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -89,7 +89,7 @@
         Parts &parts = this->parts;
         const std::uint64_t incarnation = makeIncarnation();
         parts.timer = std::make_unique<runtime::TimerService>(incarnation);
-        BOOST_OUTCOME_TRY(this->openClients());
+        BOOST_OUTCOME_TRY(this->openClients(incarnation));
         const core::Node self{{this->settings.nodeName},
                               withPort(this->settings.peersAddress, parts.peerLink->port()),
                               this->settings.dataCentre,
@@ -108,7 +108,7 @@
         return boost::outcome_v2::success();
     }
 
-    core::Result<void> openClients()
+    core::Result<void> openClients(std::uint64_t incarnation)
     {
         Parts &parts = this->parts;
         BOOST_OUTCOME_TRY(targets, net::HttpClient::create(clientSettings("targets")));
@@ -125,6 +125,9 @@
                               return routePeerMessage(parts, std::move(message));
                           }));
         parts.peerLink = std::move(peers);
+        parts.attemptRelay = std::make_unique<AttemptRelay>(
+                *parts.targetClient, *parts.peerLink, parts.metrics,
+                fmt::format("{}/{}", this->settings.nodeName, incarnation));
         parts.storeLink = std::make_unique<StoreLink>(
                 StoreLinkParts{*parts.storeClient, *parts.peerLink, parts.logger, parts.metrics},
                 this->settings.storeAddress, otherSeeds(this->settings));
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "attempt_relay.hpp"
 #include "shared_tables.hpp"
 #include "store_link.hpp"
 
@@ -68,9 +69,10 @@
 /// and the metrics.
 ///
 /// A decision thread never blocks on the ring of a part, while a part may block on the ring of a
-/// decision thread, so rings cannot deadlock. The call duty may block on the ring of the batch
-/// duty, which blocks on no other ring. When a decision ring is full, client requests are rejected
-/// as not run, ticks are skipped, and results of requests wait, because they must not be lost.
+/// decision thread, so rings cannot deadlock. The call duty may block on the rings of the batch
+/// and fleet duties, which block on no other ring. When a decision ring is full, client requests
+/// are rejected as not run, ticks are skipped, and results of requests wait, because they must not
+/// be lost.
 struct Parts
 {
     runtime::Logger logger;
@@ -86,6 +88,7 @@
     std::unique_ptr<net::HttpClient> storeClient;
     std::unique_ptr<net::PeerLink> peerLink;
     std::unique_ptr<StoreLink> storeLink;
+    std::unique_ptr<AttemptRelay> attemptRelay;
     std::unique_ptr<net::HttpServer> callerServer;
     std::unique_ptr<net::HttpServer> readinessServer;
     std::unique_ptr<net::HttpServer> metricsServer;
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -105,6 +105,14 @@
         replyToPermitRequest(parts, message);
         return true;
     }
+    if (message.path == attemptsPath) {
+        parts.attemptRelay->serve(message);
+        return true;
+    }
+    if (message.path == cancelAttemptPath) {
+        parts.attemptRelay->serveCancel(message);
+        return true;
+    }
     if (message.path == crashesPath)
         return receiveCrashRecords(parts, message);
     if (message.path == progressPath)
