Take a target that states in its answers that it leaves out of use

DRAIN: a target that shuts down says so in each answer (Server-Leaving), maybe before its row does, or while this node cannot read the rows. The header was passed on and not read. The fleet duty now marks that start of the target as leaving in the directory that all duties share, so that calls, scoring requests, runs, weight orders and relayed requests keep away; a new start of the target under the same id ends it, and a row that lapses and returns does not.

The live test was not run on the code before, which reads no such header.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -103,6 +103,11 @@
 struct MachineSuspended
 {
 };
+/// A target has stated in an answer that it shuts down.
+struct TargetLeavingStated
+{
+    TargetId target;
+};
 /// This node can no longer open connections to targets, or can again.
 struct TargetReachChanged
 {
@@ -119,7 +124,7 @@
 using FleetEvent = std::variant<TableReadCompleted, TableReadFailed, PeerTablesReceived,
                                 HeartbeatWriteCompleted, WeightOrderLeaseWriteCompleted,
                                 EngineStateReceived, WeightOrderReplyReceived, MachineSuspended,
-                                TargetReachChanged, FleetDraining, FleetTick>;
+                                TargetLeavingStated, TargetReachChanged, FleetDraining, FleetTick>;
 
 // Actions
 
@@ -176,6 +181,8 @@
     /// How long targets whose rows lapsed in an outage of the store are kept: live targets have
     /// written their rows again by then.
     Duration lapsedTargetRetention = std::chrono::milliseconds(2200);
+    /// How long after a failed read of the targets it is kept which removed targets were leaving.
+    Duration leavingTargetRetention = std::chrono::minutes(1);
     /// The delay of a takeover of the lease for each node that is ranked before this one.
     Duration takeoverDelayPerRank = std::chrono::milliseconds(700);
     /// The time between two writes of the lease; by the second one the feed shows the holder.
@@ -201,6 +208,9 @@
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRowVersion{}; ///< The version of the row that `routing` was read from.
     std::map<TargetId, KnownTarget> targets;
+    /// The start times of the targets that have stated in answers that they shut down. Their rows
+    /// may say so later, or never.
+    std::map<TargetId, std::uint64_t> leavingTargets;
     Time nextPeerRequestAt{};
     WeightMap desiredWeights;
     BatchMap batches;
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -138,6 +138,21 @@
         this->state.presenceChanged = true;
     }
 
+    void operator()(const TargetLeavingStated &event)
+    {
+        const auto known = this->state.targets.find(event.target);
+        if (known == this->state.targets.end())
+            return;
+        const std::uint64_t startedAt = known->second.target->startedAt;
+        const auto [position, isNew] =
+                this->state.leavingTargets.try_emplace(event.target, startedAt);
+        if (!isNew && position->second == startedAt)
+            return;
+        position->second = startedAt;
+        this->state.contentChanged = true;
+        this->state.targetsChanged = true;
+    }
+
     void operator()(const TargetReachChanged &event)
     {
         this->state.reachesTargets = event.reachesTargets;
@@ -300,8 +315,13 @@
     [[nodiscard]] std::shared_ptr<const TargetMap> copyTargets() const
     {
         auto targets = std::make_shared<TargetMap>();
-        for (const auto &[id, known] : this->state.targets)
-            targets->emplace_hint(targets->end(), id, *known.target);
+        for (const auto &[id, known] : this->state.targets) {
+            const auto copy = targets->emplace_hint(targets->end(), id, *known.target);
+            const auto leaving = this->state.leavingTargets.find(id);
+            if (leaving != this->state.leavingTargets.end()
+                && leaving->second == known.target->startedAt)
+                copy->second.target.leaving = true;
+        }
         return targets;
     }
 
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -158,6 +158,11 @@
 
 void removeLapsedTargets(FleetState &state, Time now)
 {
+    // A row that lapses in an outage of the store comes back, also that of a target that leaves.
+    if (!state.targetsReadFailedAt
+        || now - *state.targetsReadFailedAt > state.settings.leavingTargetRetention)
+        std::erase_if(state.leavingTargets,
+                      [&](const auto &entry) { return state.targets.count(entry.first) == 0; });
     const std::size_t removed = std::erase_if(state.targets, [&](const auto &entry) {
         const std::optional<Time> &missingSince = entry.second.missingSince;
         if (!missingSince)
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -399,3 +399,28 @@
         CHECK(fixture.find<WriteWeightOrderLease>() == nullptr);
     }
 }
+
+TEST_CASE("a target that states in an answer that it leaves gets no work, whatever its row says")
+{
+    FleetFixture fixture;
+    fixture.read(FleetTable::Targets, true, {makeTargetRow("a"), makeTargetRow("b")});
+    fixture.send(TargetLeavingStated{{"a"}});
+    REQUIRE(fixture.find<PublishDirectory>() != nullptr);
+    const auto isLeaving = [&](const char *id) {
+        return fixture.state.published.targets->at({id}).target.leaving;
+    };
+    CHECK(isLeaving("a"));
+    CHECK_FALSE(isLeaving("b"));
+    // Its row lapses and comes back in an outage of the store.
+    fixture.send(TableReadFailed{FleetTable::Targets, false});
+    fixture.read(FleetTable::Targets, true, {makeTargetRow("b")});
+    fixture.now += 3s;
+    fixture.send(FleetTick{});
+    CHECK(fixture.state.published.targets->count({"a"}) == 0);
+    fixture.read(FleetTable::Targets, false, {makeTargetRow("a")});
+    CHECK(isLeaving("a"));
+    FleetTarget restarted = makeTarget("a");
+    restarted.startedAt = 7;
+    fixture.read(FleetTable::Targets, false, {makeRow(restarted)});
+    CHECK_FALSE(isLeaving("a"));
+}
--- a/packages/entry/src/attempt_relay.cpp
+++ b/packages/entry/src/attempt_relay.cpp
@@ -80,8 +80,9 @@
 } // namespace
 
 AttemptRelay::AttemptRelay(net::HttpClient &client, net::PeerLink &peers, runtime::Metrics &metrics,
-                           std::string selfId)
-    : client(client), peers(peers), metrics(metrics), selfId(std::move(selfId))
+                           std::string selfId, RelayedTargets targets)
+    : client(client), peers(peers), metrics(metrics), selfId(std::move(selfId)),
+      targets(std::move(targets))
 {
 }
 
@@ -154,7 +155,8 @@
 void AttemptRelay::serve(const net::PeerMessage &message)
 {
     auto decoded = codec::decodeRelayedAttempt(message.body);
-    const auto key = decoded ? this->admit(decoded.value().id) : std::nullopt;
+    const bool isAllowed = decoded && this->targets.takesRequests(decoded.value().address);
+    const auto key = isAllowed ? this->admit(decoded.value().id) : std::nullopt;
     if (!key) {
         this->metrics.count("relays_refused");
         return this->peers.reply(
@@ -176,8 +178,10 @@
     request.connectTimeout = connectTimeout;
     request.reuseConnection = attempt.reuseConnection;
     request.cancelKey = *key;
-    request.done = [this, id = attempt.id, token = message.token](net::HttpResult &&result) {
+    request.done = [this, id = attempt.id, address = request.address,
+                    token = message.token](net::HttpResult &&result) {
         this->finish(id);
+        this->targets.onAnswered(address, result);
         this->peers.reply(token, encodeResult(std::move(result)));
     };
     this->client.send(std::move(request));
--- a/packages/entry/src/attempt_relay.hpp
+++ b/packages/entry/src/attempt_relay.hpp
@@ -15,13 +15,20 @@
 
 namespace geraniumpulley::entry {
 
+/// What a relay asks of and tells its node about the targets of other nodes' requests.
+struct RelayedTargets
+{
+    std::function<bool(const std::string &address)> takesRequests;
+    std::function<void(const std::string &address, const net::HttpResult &result)> onAnswered;
+};
+
 /// Sends requests through other nodes while this one reaches no target, and sends those of other
 /// nodes. A request is relayed once only. Thread-safe.
 class AttemptRelay
 {
 public:
     AttemptRelay(net::HttpClient &client, net::PeerLink &peers, runtime::Metrics &metrics,
-                 std::string selfId);
+                 std::string selfId, RelayedTargets targets);
 
     /// Sends a request through a peer. The peer's failure to take it is a `NotSent`.
     void send(const core::Node &peer, std::uint64_t operation, net::HttpRequest &&request);
@@ -45,6 +52,7 @@
     net::PeerLink &peers;
     runtime::Metrics &metrics;
     std::string selfId;
+    RelayedTargets targets;
     std::mutex mutex;
     std::map<std::uint64_t, std::string> peerAddresses; ///< Of this node's relayed requests.
     std::map<std::string, net::CancelKey> served; ///< Requests of other nodes in flight.
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -86,7 +86,9 @@
         request.readTimeout = run.silenceLimit;
         request.cancelKey = cancelKeyOf(run.run);
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
-        request.onResponseHead = [this, id = run.run](net::HttpResponseHead &&head) {
+        request.onResponseHead = [this, id = run.run,
+                                  target = run.target.id](net::HttpResponseHead &&head) {
+            noteLeaving(this->parts, target, head.status, head.headers);
             this->push(core::RunHeadReceived{id, platform::decodeRunHead(head),
                                              platform::decodeRateLimit(head.headers)});
         };
@@ -107,6 +109,8 @@
                         sentAt = runtime::now()](net::HttpResult &&result) {
             const core::RunEnd end = platform::decodeRunEnd(result, *buffer);
             this->logRunEnd(item, target, result, end, runtime::now() - sentAt);
+            if (!result.isDeliveredInParts)
+                noteLeaving(this->parts, {target}, result.status, result.headers);
             this->push(core::RunEnded{id, end, platform::decodeRateStatement(result),
                                       result.failure != net::SendFailure::None});
         };
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -100,6 +100,7 @@
             return this->sendStream(attempt, std::move(request));
         request.done = [this, attempt, sentAt = runtime::now()](net::HttpResult &&result) {
             this->logAttempt(attempt, result, runtime::now() - sentAt);
+            noteLeaving(this->parts, attempt.target.id, result.status, result.headers);
             this->push(toEvent(attempt.operation, std::move(result)));
         };
         const core::DirectoryPointer directory = this->parts.directory.get();
@@ -145,7 +146,9 @@
         const core::OperationId operation = attempt.operation;
         const auto buffer = std::make_shared<platform::EventStreamBuffer>();
         request.readTimeout = attempt.silenceLimit;
-        request.onResponseHead = [this, operation](net::HttpResponseHead &&head) {
+        request.onResponseHead = [this, operation,
+                                  target = attempt.target.id](net::HttpResponseHead &&head) {
+            noteLeaving(this->parts, target, head.status, head.headers);
             this->push(platform::decodeStreamHead(operation, std::move(head)));
         };
         request.onBodyPart = [this, operation, buffer](std::string &&piece) {
@@ -161,8 +164,10 @@
         };
         request.done = [this, attempt, buffer, sentAt = runtime::now()](net::HttpResult &&result) {
             this->logAttempt(attempt, result, runtime::now() - sentAt);
-            if (!result.isDeliveredInParts)
+            if (!result.isDeliveredInParts) {
+                noteLeaving(this->parts, attempt.target.id, result.status, result.headers);
                 return this->push(toEvent(attempt.operation, std::move(result)));
+            }
             this->push(platform::decodeStreamEnd(attempt.operation, result, *buffer));
         };
         this->parts.targetClient->send(std::move(request));
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -54,6 +54,31 @@
     return static_cast<std::uint64_t>(runtime::wallNow().time_since_epoch().count());
 }
 
+const core::FleetTarget *findByAddress(const core::Directory &directory, const std::string &address)
+{
+    const auto position =
+            std::find_if(directory.targets->begin(), directory.targets->end(),
+                         [&](const auto &entry) { return entry.second.target.address == address; });
+    return position == directory.targets->end() ? nullptr : &position->second;
+}
+
+// A peer may not know yet that a target leaves. One that this node does not know is left to the
+// peer's choice.
+RelayedTargets relayedTargets(Parts &parts)
+{
+    return {[&parts](const std::string &address) {
+                const core::DirectoryPointer directory = parts.directory.get();
+                const core::FleetTarget *target =
+                        directory ? findByAddress(*directory, address) : nullptr;
+                return target == nullptr || !target->target.leaving;
+            },
+            [&parts](const std::string &address, const net::HttpResult &result) {
+                const core::DirectoryPointer directory = parts.directory.get();
+                if (const auto *target = directory ? findByAddress(*directory, address) : nullptr)
+                    noteLeaving(parts, target->target.id, result.status, result.headers);
+            }};
+}
+
 } // namespace
 
 struct Daemon::Implementation
@@ -127,7 +152,7 @@
         parts.peerLink = std::move(peers);
         parts.attemptRelay = std::make_unique<AttemptRelay>(
                 *parts.targetClient, *parts.peerLink, parts.metrics,
-                fmt::format("{}/{}", this->settings.nodeName, incarnation));
+                fmt::format("{}/{}", this->settings.nodeName, incarnation), relayedTargets(parts));
         parts.storeLink = std::make_unique<StoreLink>(
                 StoreLinkParts{*parts.storeClient, *parts.peerLink, parts.logger, parts.metrics},
                 this->settings.storeAddress, otherSeeds(this->settings));
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -3,8 +3,11 @@
 #include "parts.hpp"
 
 #include <geraniumpulley/core/control/view.hpp>
+#include <geraniumpulley/core/http_header.hpp>
+#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/entry/settings.hpp>
+#include <geraniumpulley/platform/target_messages.hpp>
 
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -12,6 +15,7 @@
 #include <optional>
 #include <utility>
 #include <variant>
+#include <vector>
 
 /// The decision threads of a process. Each passes its events to the core and executes the resulting
 /// actions through `Parts`.
@@ -64,6 +68,17 @@
         parts.logger.write("rate_limit_ended", runtime::field("target", change.target.value));
 }
 
+/// Tells the fleet duty that a target shuts down, if its answer says so.
+inline void noteLeaving(Parts &parts, const core::TargetId &target, std::uint32_t status,
+                        const std::vector<core::HttpHeader> &headers)
+{
+    // Another target than the expected one answers that the request is misdirected.
+    if (status == core::status::misdirected || !platform::statesLeaving(headers))
+        return;
+    parts.logger.write("target_leaving", runtime::field("target", target.value));
+    parts.fleet.deliver(core::TargetLeavingStated{target});
+}
+
 /// Cancels a request whose stream holds an event beyond the limit, so that it ends as broken.
 inline void cancelOverlong(Parts &parts, net::HttpClient &client, core::OperationId operation)
 {
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -287,6 +287,7 @@
         net::HttpRequest request = platform::encodeEngineStateRequest(query);
         request.deadline = runtime::now() + engineTimeout;
         request.done = [this, target = query.target.id](net::HttpResult &&result) {
+            noteLeaving(this->parts, target, result.status, result.headers);
             this->push(core::EngineStateReceived{target, platform::decodeEngineState(result)});
         };
         this->parts.engineClient->send(std::move(request));
@@ -297,6 +298,7 @@
         net::HttpRequest request = platform::encodeWeightOrder(order, this->state.settings.self.id);
         request.deadline = runtime::now() + engineTimeout;
         request.done = [this, order](net::HttpResult &&result) {
+            noteLeaving(this->parts, order.target.id, result.status, result.headers);
             const core::WeightOrderReply reply = platform::decodeWeightOrderReply(result);
             this->parts.logger.write("weights_ordered", field("target", order.target.id.value),
                                      field("model", order.model),
--- a/packages/entry/tests/unit-attempt_relay.cpp
+++ b/packages/entry/tests/unit-attempt_relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <string>
@@ -32,7 +33,7 @@
                                                })
                                  .value())),
           relay(std::make_unique<entry::AttemptRelay>(*this->client, *this->link, this->metrics,
-                                                      name))
+                                                      name, this->targets()))
     {
     }
 
@@ -42,11 +43,18 @@
         this->link->stop();
     }
 
+    entry::RelayedTargets targets()
+    {
+        return {[this](const std::string &) { return !this->hasLeavingTarget; },
+                [](const std::string &, const net::HttpResult &) {}};
+    }
+
     core::Node node() const
     {
         return {{"peer"}, "127.0.0.1:" + std::to_string(this->link->port()), "zone", 1};
     }
 
+    std::atomic<bool> hasLeavingTarget = false;
     runtime::Metrics metrics;
     std::unique_ptr<net::HttpClient> client;
     std::unique_ptr<net::PeerLink> link;
@@ -162,3 +170,14 @@
     for (std::size_t i = 0; i < limit; ++i)
         done[i].get_future().wait();
 }
+
+TEST_CASE("a peer passes no request on to a target that leaves")
+{
+    const RelayingNode sender("sender");
+    RelayingNode peer("peer");
+    peer.hasLeavingTarget = true;
+    const Listener listener;
+    std::promise<net::HttpResult> done;
+    sender.relay->send(peer.node(), 1, makeRequest(listener.address(), done));
+    CHECK(done.get_future().get().failure == net::SendFailure::NotSent);
+}
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -370,6 +370,24 @@
     }
 }
 
+// The row of the worker may say so only later, or not at all while the store is away.
+TEST_CASE("on the platform a worker that states in its answers that it leaves gets no new requests")
+{
+    live::PlatformFleet fleet;
+    startDeployment(fleet);
+    fleet.configureWorker("orders-1", R"({"leaving": true})");
+    fleet.process("store").signal(SIGKILL);
+    for (const std::string &node : fleet.nodes) {
+        REQUIRE(fleet.waitFor([&] {
+            CHECK(fleet.call(node, "POST", "/lookup/1", "id-1", "x").status == 200);
+            return hasLogged(fleet, node, "event=target_leaving target=orders-1");
+        }));
+        // The node may have sent further requests before it received the answer.
+        CHECK(fleet.waitFor([&] { return !isCalled(fleet, "orders-1", {node}); }));
+    }
+    CHECK_FALSE(isCalled(fleet, "orders-1", fleet.nodes));
+}
+
 // Each node that learns of the request anew would take down further workers.
 TEST_CASE("on the platform a request that crashes its workers reaches few of them, also after a "
           "restart of all nodes")
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -42,6 +42,7 @@
     std::uint64_t highestFencingToken = 0;
     std::uint64_t remainingRefusals = 0; // How many of the next requests are refused.
     std::string rateLimit; // The limit stated in answers; empty for none.
+    bool statesLeaving = false; // Answers state that the worker leaves.
     std::string software; // Ends the data of each event; empty for none.
     std::uint64_t fixedEventCount = 0; // The length of all texts; 0 for one that follows the id.
     std::vector<value> executedRequestIds;
@@ -73,6 +74,8 @@
             this->remainingRefusals = settings.at("refusals").as_number().to_uint64();
         if (settings.has_field("rate_limit"))
             this->rateLimit = settings.at("rate_limit").as_string();
+        if (settings.has_field("leaving"))
+            this->statesLeaving = settings.at("leaving").as_bool();
         if (settings.has_field("software"))
             this->software = settings.at("software").as_string();
         if (settings.has_field("events"))
@@ -107,6 +110,8 @@
         const std::string requestId = findHeader(request.headers, "X-Attempt-Id");
         Reply reply;
         reply.headers = {{"X-Attempt-Id", requestId}};
+        if (this->statesLeaving)
+            reply.headers.push_back({"Server-Leaving", "1"});
         if (!this->rateLimit.empty())
             reply.headers.push_back({"Server-Limit", this->rateLimit});
         if (this->remainingRefusals > 0) {
