--- a/packages/entry/tests/unit-target_row_cache.cpp
+++ b/packages/entry/tests/unit-target_row_cache.cpp
@@ -11,7 +11,8 @@
 platform::Row makeRow(const std::string &state, std::uint64_t version)
 {
     return {{"servers", "", "t"},
-            R"({"service":"s","address":"a:1","zone":"z","slots":8,"state":")" + state + "\"}",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":")" + state
+                    + "\"}",
             core::RowVersion{version},
             false};
 }
