Do not guess the software of a stream at a node that is out of step

It can happen here where a client does not name the attempt that began its stream: the node then looked whether all targets that it knows run the same software, in a list of any age. Now that list must have been read from the store within 3 s, and a suspension of the machine voids it; else the client gets 503 at once. A named attempt is looked up in the store as before. unit-entry, unit-fleet; the check of an old list failed before (it took any).

Not covered: a target that restarts under its id with other software while this node is out of step.

--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -124,7 +124,7 @@
     ItemId item;
     ScoringRequest request;
 };
-/// A `FindStreamOrigin` has completed.
+/// A `FindStreamOrigin` or `FindOnlySoftware` has completed.
 struct StreamOriginFound
 {
     ReplyToken reply{};
@@ -173,6 +173,13 @@
     ReplyToken reply{};
     std::string requestId; ///< The client's attempt that brought the first event.
 };
+/// Looks up the software of a service for a stream that a client takes up without naming the
+/// attempt that began it. Completes with a `StreamOriginFound`.
+struct FindOnlySoftware
+{
+    ReplyToken reply{};
+    ServiceName service;
+};
 /// Looks for expired origins in the store that other nodes have left behind. One node does it.
 struct SweepStreamOrigins
 {
@@ -276,8 +283,9 @@
 using EntryAction =
         std::variant<SendAttempt, CancelAttempt, AnswerEntryCall, SendStreamHead, SendStreamEvent,
                      EndStream, ScoreCompleted, RateLimitChanged, RequestPermits, FindStreamOrigin,
-                     StoreStreamOrigins, SweepStreamOrigins, ProbeTargets, CrashCheckCompleted,
-                     CrashRecorded, CrashRecordsChanged, StoreCrashRecords, ReachChanged>;
+                     FindOnlySoftware, StoreStreamOrigins, SweepStreamOrigins, ProbeTargets,
+                     CrashCheckCompleted, CrashRecorded, CrashRecordsChanged, StoreCrashRecords,
+                     ReachChanged>;
 
 struct EntrySettings
 {
@@ -386,4 +394,9 @@
 /// \return when the next tick is due, or nothing if nothing is pending.
 std::optional<Time> dueAt(const EntryState &state);
 
+/// \return the software of a service whose targets all run the same, or null if they do not, or if
+/// they were not read from the store within the last 3 s: others may have joined since.
+std::optional<SoftwareVersion> onlySoftwareOf(const Directory &directory,
+                                              const ServiceName &service, Time now);
+
 } // namespace geraniumpulley::core
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -26,6 +26,8 @@
     /// The newest routing table; null until one has been read.
     std::shared_ptr<const RoutingTable> routing;
     std::shared_ptr<const TargetMap> targets;
+    /// When the targets were last read from the store.
+    std::optional<Time> targetsReadAt;
     /// Whether the targets are known, from the store or from a peer; if not, `targets` is empty.
     bool targetsKnown = false;
     std::shared_ptr<const WeightMap> desiredWeights;
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -444,15 +444,15 @@
     {
         EntryRequest &request = position->second;
         const std::string &origin = request.call->resumedRequestId;
-        const auto software = origin.empty()
-                                      ? onlySoftwareOf(*this->state.directory, request.service)
-                                      : findStreamOrigin(this->state.streamOrigins, origin);
-        if (!software && !origin.empty()) {
+        if (origin.empty()) {
+            this->actions.emplace_back(FindOnlySoftware{position->first, request.service});
+            return;
+        }
+        const auto software = findStreamOrigin(this->state.streamOrigins, origin);
+        if (!software) {
             this->actions.emplace_back(FindStreamOrigin{position->first, origin});
             return;
         }
-        if (!software)
-            return this->finishUnserved(position, EntryVerdict::SoftwareUnknown);
         request.software = *software;
         this->sendNextAttempt(position);
     }
--- a/packages/core/src/entry/target_choice.cpp
+++ b/packages/core/src/entry/target_choice.cpp
@@ -106,8 +106,12 @@
 }
 
 std::optional<SoftwareVersion> onlySoftwareOf(const Directory &directory,
-                                              const ServiceName &service)
+                                              const ServiceName &service, Time now)
 {
+    // Several reads, also where many nodes share the store.
+    constexpr Duration maxAge = std::chrono::seconds(3);
+    if (!directory.targetsReadAt || now - *directory.targetsReadAt > maxAge)
+        return std::nullopt;
     std::set<SoftwareVersion> software;
     for (const auto &[id, target] : *directory.targets) {
         if (target.target.service == service)
--- a/packages/core/src/entry/target_choice.hpp
+++ b/packages/core/src/entry/target_choice.hpp
@@ -32,8 +32,4 @@
 /// \return the start time that a target reports; 0 for an unknown target.
 std::uint64_t startTimeOf(const Directory &directory, const TargetId &target);
 
-/// \return the software of a service whose targets all run the same, else null.
-std::optional<SoftwareVersion> onlySoftwareOf(const Directory &directory,
-                                              const ServiceName &service);
-
 } // namespace geraniumpulley::core
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -60,6 +60,8 @@
     void operator()(const TableReadCompleted &event)
     {
         recordReadCompleted(this->follower(event.table), event.isFull, event.upTo, this->now);
+        if (event.table == FleetTable::Targets)
+            this->state.published.targetsReadAt = this->now;
         if (event.storeClock > Duration{})
             this->state.storeClockOffset = event.storeClock - this->now.time_since_epoch();
         applyRows(this->state, event, this->now);
@@ -134,6 +136,7 @@
     void operator()(const MachineSuspended &)
     {
         this->state.ownershipValidUntil = {};
+        this->state.published.targetsReadAt.reset();
         this->state.nextHeartbeatAt = this->now;
         this->state.presenceChanged = true;
     }
--- a/packages/core/tests/entry/unit-entry.cpp
+++ b/packages/core/tests/entry/unit-entry.cpp
@@ -424,5 +424,21 @@
     CHECK(harness.find<AnswerEntryCall>()->answer.status == 503);
     CHECK(harness.find<AnswerEntryCall>()->verdict == EntryVerdict::SoftwareUnknown);
     takeUp(harness, 2, "");
+    REQUIRE(harness.find<FindOnlySoftware>() != nullptr);
+    CHECK(harness.find<FindOnlySoftware>()->service.value == "service");
+    harness.send(StreamOriginFound{ReplyToken{2}, std::nullopt});
     CHECK(harness.find<AnswerEntryCall>()->answer.status == 503);
 }
+
+// Targets of other software may have joined while the node was frozen or cut off from the store.
+TEST_CASE("a node that is out of step does not guess the software of a stream that is taken up")
+{
+    Directory directory = *makeDirectory(3, {{"v1"}, {"v1"}, {"v1"}});
+    CHECK_FALSE(onlySoftwareOf(directory, {"service"}, start).has_value());
+    directory.targetsReadAt = start;
+    CHECK(onlySoftwareOf(directory, {"service"}, start + 3s) == SoftwareVersion{"v1"});
+    CHECK_FALSE(onlySoftwareOf(directory, {"service"}, start + 4s).has_value());
+    Directory mixed = *makeDirectory(4, mixedSoftware);
+    mixed.targetsReadAt = start;
+    CHECK_FALSE(onlySoftwareOf(mixed, {"service"}, start).has_value());
+}
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -424,3 +424,14 @@
     fixture.read(FleetTable::Targets, false, {makeRow(restarted)});
     CHECK_FALSE(isLeaving("a"));
 }
+
+TEST_CASE(
+        "the directory tells when the targets were read, and a suspension of the machine voids it")
+{
+    FleetFixture fixture;
+    CHECK_FALSE(fixture.state.published.targetsReadAt.has_value());
+    fixture.read(FleetTable::Targets, true, {makeTargetRow("a")});
+    CHECK(fixture.state.published.targetsReadAt == fixture.now);
+    fixture.send(MachineSuspended{});
+    CHECK_FALSE(fixture.state.published.targetsReadAt.has_value());
+}
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -219,6 +219,15 @@
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
     void perform(core::FindStreamOrigin &&action) { findStreamOrigin(this->parts, action); }
+    // The directory of the process is newer than that of the last event.
+    void perform(core::FindOnlySoftware &&action)
+    {
+        const core::DirectoryPointer directory = this->parts.directory.get();
+        this->push(core::StreamOriginFound{
+                action.reply,
+                directory ? core::onlySoftwareOf(*directory, action.service, runtime::now())
+                          : std::nullopt});
+    }
     void perform(core::StoreStreamOrigins &&action) { storeStreamOrigins(this->parts, action); }
     void perform(core::SweepStreamOrigins &&) { sweepStreamOrigins(this->parts, this->sweptUpTo); }
 
