Probe a target that has accepted a probe once more before it is cleared of a crash

Traced (crash_checked probe=accepted of a worker that had ended): while a process ends, its listening socket may outlive its connections for a moment, so that the probe was accepted. Such a target is now probed again 50 ms later; the retry of its request does not wait for that. Also braces that the linter asks for.

unit-crash_suspects, unit-entry_crashes; the check of a leaving target has a fleet of its own there, since the first case now leaves a check pending.

--- a/packages/core/include/geraniumpulley/core/calls/crash_suspects.hpp
+++ b/packages/core/include/geraniumpulley/core/calls/crash_suspects.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/calls/crash_log.hpp>
+#include <geraniumpulley/core/calls/target_probe.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/time.hpp>
 
@@ -29,6 +30,9 @@
     /// Limit of a node's random share of the pause. Without it, all nodes that receive a request
     /// would try it again at the same moment.
     Duration maxExtraPause = std::chrono::seconds(5);
+    /// The time after which a target that has accepted a probe is probed again: while a process
+    /// ends, its listening socket may outlive its connections.
+    Duration repeatDelay = std::chrono::milliseconds(50);
     Duration writeRetryDelay = std::chrono::milliseconds(200);
     Duration sweepPeriod = std::chrono::seconds(10); ///< Between two removals of expired records.
 };
@@ -55,6 +59,8 @@
 {
     TargetIncarnation target;
     std::set<RequestDigest> requests;
+    std::optional<Time> repeatAt = {}; ///< When the target is to be probed again.
+    bool isRepeated = false;
 };
 
 struct CrashSuspects
@@ -79,9 +85,13 @@
 OperationId addToCheck(CrashSuspects &suspects, OperationId newCheck,
                        const TargetIncarnation &target, const RequestDigest &request);
 
-/// Ends a check. \return the records of its requests if the target crashed.
-std::vector<CrashRecord> finishCheck(CrashSuspects &suspects, OperationId check, bool hasCrashed,
-                                     Duration storeTime);
+/// Records the probe of a check. The check ends, or its target is to be probed once more.
+/// \return the records of its requests if the target has crashed.
+std::vector<CrashRecord> recordCrashProbe(CrashSuspects &suspects, const TargetsProbed &probed,
+                                          Duration storeTime, Time now);
+
+/// \return the checks whose targets are to be probed again now.
+std::vector<OperationId> dueCrashProbes(CrashSuspects &suspects, Time now);
 
 /// Adds a record that this node has made or received.
 void addRecord(CrashSuspects &suspects, const CrashRecord &record);
@@ -103,7 +113,7 @@
 
 void recordCrashWrite(CrashSuspects &suspects, bool succeeded, Time now);
 
-/// \return when the next write may be due.
+/// \return when the next write or probe may be due.
 std::optional<Time> dueAt(const CrashSuspects &suspects);
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/calls/crash_suspects.cpp
+++ b/packages/core/src/calls/crash_suspects.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/calls/crash_suspects.hpp>
 
+#include "crash_probe.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -93,19 +95,40 @@
     return position->first;
 }
 
-std::vector<CrashRecord> finishCheck(CrashSuspects &suspects, OperationId check, bool hasCrashed,
-                                     Duration storeTime)
+std::vector<CrashRecord> recordCrashProbe(CrashSuspects &suspects, const TargetsProbed &probed,
+                                          Duration storeTime, Time now)
 {
-    const auto finished = suspects.checks.extract(check);
     std::vector<CrashRecord> records;
-    if (finished.empty() || !hasCrashed)
+    const auto position = suspects.checks.find(probed.operation);
+    if (position == suspects.checks.end() || probed.outcomes.empty())
+        return records;
+    CrashCheck &check = position->second;
+    if (probed.outcomes.front() == ProbeOutcome::Accepted && !check.isRepeated) {
+        check.repeatAt = now + suspects.settings.repeatDelay;
         return records;
-    for (const RequestDigest &request : finished.mapped().requests)
-        records.push_back({request, finished.mapped().target,
-                           storeTime + suspects.settings.judging.retention});
+    }
+    if (showsCrash(probed)) {
+        for (const RequestDigest &request : check.requests)
+            records.push_back(
+                    {request, check.target, storeTime + suspects.settings.judging.retention});
+    }
+    suspects.checks.erase(position);
     return records;
 }
 
+std::vector<OperationId> dueCrashProbes(CrashSuspects &suspects, Time now)
+{
+    std::vector<OperationId> due;
+    for (auto &[operation, check] : suspects.checks) {
+        if (!check.repeatAt || *check.repeatAt > now)
+            continue;
+        check.repeatAt.reset();
+        check.isRepeated = true;
+        due.push_back(operation);
+    }
+    return due;
+}
+
 void addRecord(CrashSuspects &suspects, const CrashRecord &record)
 {
     if (contains(suspects.log, record))
@@ -221,9 +244,14 @@
 
 std::optional<Time> dueAt(const CrashSuspects &suspects)
 {
-    if (suspects.write || (suspects.unstored.empty() && suspects.removable.empty()))
-        return std::nullopt;
-    return suspects.nextWriteAt;
+    std::optional<Time> due;
+    if (!suspects.write && !(suspects.unstored.empty() && suspects.removable.empty()))
+        due = suspects.nextWriteAt;
+    for (const auto &[operation, check] : suspects.checks) {
+        if (check.repeatAt)
+            due = std::min(due.value_or(*check.repeatAt), *check.repeatAt);
+    }
+    return due;
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/calls/dispatch.cpp
+++ b/packages/core/src/calls/dispatch.cpp
@@ -151,9 +151,8 @@
 
     void operator()(const TargetsProbed &event)
     {
-        const std::vector<CrashRecord> records =
-                finishCheck(this->state.suspects, event.operation, showsCrash(event),
-                            this->now.time_since_epoch());
+        const std::vector<CrashRecord> records = recordCrashProbe(
+                this->state.suspects, event, this->now.time_since_epoch(), this->now);
         for (const CrashRecord &record : records)
             addRecord(this->state.suspects, record);
         if (!records.empty())
@@ -165,6 +164,8 @@
     void operator()(const DispatchTick &event)
     {
         sweepRecords(this->state.suspects, this->now.time_since_epoch());
+        for (const OperationId check : dueCrashProbes(this->state.suspects, this->now))
+            this->probe(check, this->state.suspects.checks.at(check).target.target);
         ClaimActions claimActions;
         tickClaims(this->state.claims, event.wallNow, this->state.nextOperation, this->now,
                    claimActions);
@@ -321,14 +322,11 @@
     // \return the check of the call's target, or nothing if that leaves or has left.
     std::optional<OperationId> checkForCrash(const InFlightCall &call)
     {
-        std::vector<const Target *> targets;
-        const Target *lost = nullptr;
-        for (const Target &target : this->state.view->targets) {
-            targets.push_back(&target);
-            if (target.id == call.target && !target.leaving)
-                lost = &target;
-        }
-        if (lost == nullptr)
+        const auto &targets = this->state.view->targets;
+        const auto lost = std::find_if(targets.begin(), targets.end(), [&](const Target &target) {
+            return target.id == call.target && !target.leaving;
+        });
+        if (lost == targets.end())
             return std::nullopt;
         const OperationId newCheck = this->state.nextOperation;
         const OperationId check = addToCheck(this->state.suspects, newCheck,
@@ -336,11 +334,27 @@
                                              digestOfCall(call.attempt.call));
         if (check == newCheck) {
             this->state.nextOperation = next(newCheck);
-            this->actions.push_back(makeControlledProbe(check, *lost, targets, this->state.random));
+            this->probe(check, lost->id);
         }
         return check;
     }
 
+    void probe(OperationId check, const TargetId &id)
+    {
+        std::vector<const Target *> targets;
+        const Target *probed = nullptr;
+        for (const Target &target : this->state.view->targets) {
+            targets.push_back(&target);
+            if (target.id == id)
+                probed = &target;
+        }
+        if (probed == nullptr)
+            this->state.suspects.checks.erase(check);
+        else
+            this->actions.push_back(
+                    makeControlledProbe(check, *probed, targets, this->state.random));
+    }
+
     void repeat(InFlightCall call, std::optional<OperationId> check)
     {
         if (check)
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -237,11 +237,10 @@
         const auto check = this->state.suspects.checks.find(event.operation);
         if (check == this->state.suspects.checks.end() || event.outcomes.empty())
             return;
-        const bool hasCrashed = showsCrash(event);
-        this->actions.emplace_back(
-                CrashCheckCompleted{check->second.target, event.outcomes.front(), hasCrashed});
+        this->actions.emplace_back(CrashCheckCompleted{check->second.target, event.outcomes.front(),
+                                                       showsCrash(event)});
         for (const CrashRecord &record :
-             finishCheck(this->state.suspects, event.operation, hasCrashed, this->storeTime()))
+             recordCrashProbe(this->state.suspects, event, this->storeTime(), this->now))
             this->recordCrash(record);
         std::vector<ReplyToken> awaiting;
         for (auto &[reply, request] : this->state.requests) {
@@ -357,15 +356,13 @@
         if (directory == nullptr || directory->targets->empty()
             || !isProbeDue(reachability, this->now))
             return;
-        std::vector<const Target *> targets;
-        for (const auto &[id, target] : *directory->targets)
-            targets.push_back(&target.target);
         const OperationId operation = this->state.nextOperation;
         this->state.nextOperation = next(operation);
         reachability.probe = operation;
-        const Target &first = *targets[draw(this->state.random, targets.size())];
-        this->actions.emplace_back(
-                makeControlledProbe(operation, first, targets, this->state.random));
+        const auto first = std::next(
+                directory->targets->begin(),
+                static_cast<std::ptrdiff_t>(draw(this->state.random, directory->targets->size())));
+        this->probe(operation, first->second.target);
     }
 
     void acceptRequest(ReplyToken reply, EntryRequest request)
@@ -640,15 +637,22 @@
         const OperationId check = addToCheck(this->state.suspects, newCheck,
                                              {attempt.target, attempt.targetStartedAt},
                                              this->digestOfRequest(request));
-        request.awaitedCheck = check;
+        // Before a repeated probe, the first one has not shown a crash.
+        if (!this->state.suspects.checks.at(check).repeatAt)
+            request.awaitedCheck = check;
         if (check != newCheck)
             return;
         this->state.nextOperation = next(newCheck);
-        std::vector<const Target *> controls;
-        for (const auto &[id, known] : targets)
-            controls.push_back(&known.target);
+        this->probe(check, target->second.target);
+    }
+
+    void probe(OperationId operation, const Target &target)
+    {
+        std::vector<const Target *> targets;
+        for (const auto &[id, known] : *this->state.directory->targets)
+            targets.push_back(&known.target);
         this->actions.emplace_back(
-                makeControlledProbe(check, target->second.target, controls, this->state.random));
+                makeControlledProbe(operation, target, targets, this->state.random));
     }
 
     void recordCrash(const CrashRecord &record)
@@ -848,6 +852,14 @@
             const auto jitter = draw(this->state.random, suspects.settings.sweepPeriod.count());
             suspects.nextSweepAt = this->now + suspects.settings.sweepPeriod + Duration(jitter);
         }
+        for (const OperationId operation : dueCrashProbes(suspects, this->now)) {
+            const auto target = this->state.directory->targets->find(
+                    suspects.checks.at(operation).target.target);
+            if (target == this->state.directory->targets->end())
+                suspects.checks.erase(operation);
+            else
+                this->probe(operation, target->second.target);
+        }
         if (auto write = dueCrashWrite(suspects, this->now))
             this->actions.emplace_back(std::move(*write));
     }
--- a/packages/core/tests/entry/unit-entry_crashes.cpp
+++ b/packages/core/tests/entry/unit-entry_crashes.cpp
@@ -111,15 +111,16 @@
     lose(2, ProbeOutcome::Silent, ProbeOutcome::Accepted);
     lose(3, ProbeOutcome::Refused, ProbeOutcome::Refused);
     lose(4, ProbeOutcome::Refused, ProbeOutcome::Silent);
-    harness.call(5, "/safe/x");
-    const SendAttempt sent = *harness.find<SendAttempt>();
-    auto directory = std::make_shared<Directory>(*harness.state.directory);
+    CrashHarness leaving(8);
+    leaving.call(5, "/safe/x");
+    const SendAttempt sent = *leaving.find<SendAttempt>();
+    auto directory = std::make_shared<Directory>(*leaving.state.directory);
     auto targets = std::make_shared<TargetMap>(*directory->targets);
     targets->at(sent.target.id).target.leaving = true;
     directory->targets = targets;
-    harness.send(EntryDirectoryChanged{directory});
-    harness.closeConnection(sent.operation);
-    CHECK(harness.state.suspects.checks.empty());
+    leaving.send(EntryDirectoryChanged{directory});
+    leaving.closeConnection(sent.operation);
+    CHECK(leaving.state.suspects.checks.empty());
 }
 
 TEST_CASE("a request that was near a crash runs alone, and others keep away from it")
--- a/packages/core/tests/unit-crash_suspects.cpp
+++ b/packages/core/tests/unit-crash_suspects.cpp
@@ -15,6 +15,11 @@
     return {digest, {{target}, 1}, 10min};
 }
 
+TargetsProbed makeProbed(std::uint64_t check, ProbeOutcome outcome)
+{
+    return {OperationId{check}, {outcome, ProbeOutcome::Accepted}};
+}
+
 std::shared_ptr<const CrashLog> makeStored(const std::vector<CrashRecord> &records)
 {
     auto log = std::make_shared<CrashLog>();
@@ -62,7 +67,7 @@
     addToCheck(suspects, OperationId{1}, {{"c"}, 1}, request);
     clearRequest(suspects, request);
     CHECK(suspects.log.empty());
-    CHECK(finishCheck(suspects, OperationId{1}, true, 0s).empty());
+    CHECK(recordCrashProbe(suspects, makeProbed(1, ProbeOutcome::Refused), 0s, start).empty());
     recordCrashWrite(suspects, true, start);
     const auto write = dueCrashWrite(suspects, start);
     REQUIRE(write.has_value());
@@ -78,8 +83,25 @@
     CHECK(addToCheck(suspects, OperationId{1}, target, request) == OperationId{1});
     CHECK(addToCheck(suspects, OperationId{2}, target, {"other"}) == OperationId{1});
     CHECK(addToCheck(suspects, OperationId{3}, {{"b"}, 7}, request) == OperationId{3});
-    CHECK(finishCheck(suspects, OperationId{1}, true, 0s).size() == 2);
-    CHECK(finishCheck(suspects, OperationId{3}, false, 0s).empty());
+    CHECK(recordCrashProbe(suspects, makeProbed(1, ProbeOutcome::Refused), 0s, start).size() == 2);
+    CHECK(recordCrashProbe(suspects, makeProbed(3, ProbeOutcome::Silent), 0s, start).empty());
+    CHECK(suspects.checks.empty());
+}
+
+TEST_CASE("a target that ends is found out though its listening socket outlives its connections")
+{
+    CrashSuspects suspects;
+    addToCheck(suspects, OperationId{1}, {{"a"}, 7}, request);
+    CHECK(recordCrashProbe(suspects, makeProbed(1, ProbeOutcome::Accepted), 0s, start).empty());
+    CHECK(dueCrashProbes(suspects, start).empty());
+    CHECK(dueAt(suspects) == start + 50ms);
+    CHECK(dueCrashProbes(suspects, start + 50ms) == std::vector{OperationId{1}});
+    CHECK_FALSE(dueAt(suspects).has_value());
+    CHECK(recordCrashProbe(suspects, makeProbed(1, ProbeOutcome::Refused), 0s, start).size() == 1);
+    addToCheck(suspects, OperationId{2}, {{"a"}, 8}, request);
+    recordCrashProbe(suspects, makeProbed(2, ProbeOutcome::Accepted), 0s, start);
+    dueCrashProbes(suspects, start + 50ms);
+    CHECK(recordCrashProbe(suspects, makeProbed(2, ProbeOutcome::Accepted), 0s, start).empty());
     CHECK(suspects.checks.empty());
 }
 
--- a/packages/net/src/target_probe.cpp
+++ b/packages/net/src/target_probe.cpp
@@ -42,12 +42,13 @@
     pending->left = count;
     if (count == 0)
         return pending->done(std::move(pending->probed));
-    for (std::size_t i = 0; i < count; ++i)
+    for (std::size_t i = 0; i < count; ++i) {
         client.probe({probe.targets[i].address, timeout, [pending, i](ConnectOutcome outcome) {
                           pending->probed.outcomes[i] = toProbeOutcome(outcome);
                           if (--pending->left == 0)
                               pending->done(std::move(pending->probed));
                       }});
+    }
 }
 
 } // namespace geraniumpulley::net
