A stopping node refuses what it cannot finish in time

Cause: the call duty was not told of a planned stop. Its requests kept deadlines beyond the exit, and Daemon::drain spent one limit on its steps one after the other. Ruled out: closing the listener earlier (the load balancer needs 3.2 s, and any stream that is longer than the rest is cut then too); leaving less time for the exit (a stream may take 20 s of a limit of 8 s).

Change: makeStopSchedule divides the stop timeout once. EntryDraining tells the call duty when final answers are due; requests that do not end by then are refused before they are passed on, with 503, Retry-After and Connection: close. Requests of batches, and attempts and store calls that are made for other nodes, end by the same schedule; the hand-over, answers and relayed attempts go on beside each other. The native interface, which refuses all calls from the signal on, now closes kept connections early as well.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -155,6 +155,7 @@
 /// The node has started a planned stop.
 struct BatchDraining
 {
+    Time answersDueAt = Time::max(); ///< When every request must have its final answer.
 };
 /// The time returned by `dueAt` has come.
 struct BatchTick
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -270,6 +270,7 @@
     OperationId nextOperation{1};
     Time nextSlowRunCheckAt{};
     bool draining = false;
+    Time answersDueAt = Time::max(); ///< In a planned stop, when every request must be answered.
     bool drained = false; ///< `BatchesDrained` has been reported.
 };
 
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/core/calls/reachability.hpp>
 #include <geraniumpulley/core/calls/target_health.hpp>
 #include <geraniumpulley/core/calls/target_probe.hpp>
+#include <geraniumpulley/core/entry/stop_admission.hpp>
 #include <geraniumpulley/core/entry/stream_origins.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/http_header.hpp>
@@ -139,6 +140,11 @@
 {
     DirectoryPointer directory;
 };
+/// The node has started a planned stop.
+struct EntryDraining
+{
+    Time answersDueAt{}; ///< When every request must have its final answer.
+};
 struct EntryTick
 {
 };
@@ -148,7 +154,7 @@
                      StreamEventReceived, StreamEnded, EntryAttemptFailed, ScoreRequested,
                      PermitsReceived, StreamOriginFound, StreamOriginsStored, TargetsProbed,
                      CrashRecordsStored, CrashRecordsReceived, EngineUnreached,
-                     EntryDirectoryChanged, EntryTick>;
+                     EntryDirectoryChanged, EntryDraining, EntryTick>;
 
 // Actions
 
@@ -201,6 +207,7 @@
     /// Targets have crashed while they ran the request, which therefore pauses.
     PausedAfterCrashes,
     SoftwareUnknown, ///< The software that began the stream which a client takes up is unknown.
+    Stopping, ///< This node stops before the request would have its answer.
     Failed, ///< Attempts failed, and the request may have run.
     TimedOut,
 };
@@ -376,6 +383,9 @@
     std::map<TargetId, std::uint32_t> suspectsPerTarget;
     CrashSuspects suspects;
     Reachability reachability;
+    AnswerTimes answerTimes;
+    /// In a planned stop, when every request must have its final answer.
+    std::optional<Time> answersDueAt;
     RandomSource random;
     OperationId nextOperation{1};
     std::uint64_t nextScoreNumber = 0;
@@ -387,7 +397,8 @@
 /// Handles one event and returns the actions to perform.
 /// Invariants: a request that must not be repeated is never in flight at two targets, and is not
 /// retried after an attempt that may have run; a request is refused only if no attempt has run; a
-/// stream whose head was sent ends with `EndStream`, as complete only after its last event.
+/// stream whose head was sent ends with `EndStream`, as complete only after its last event; in a
+/// planned stop each request ends by `EntryDraining::answersDueAt`.
 /// Complexity: linear in targets.
 std::vector<EntryAction> step(EntryState &state, const EntryEvent &event, Time now);
 
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -24,6 +24,10 @@
 void onResultsRead(BatchContext &context, const ResultsRead &event);
 void onItemBodyRequested(BatchContext &context, const ItemBodyRequested &event);
 void onRequesterDisconnected(BatchContext &context, const RequesterDisconnected &event);
+/// Ends the waits of all requests in time for the planned stop.
+void onBatchDraining(BatchContext &context, const BatchDraining &event);
+/// \return when a request that arrives now must be answered at the latest.
+Time latestAnswerAt(const BatchContext &context, Duration maxWait);
 /// Retries submissions and answers the requests whose deadline has passed.
 void advanceSubmissions(BatchContext &context);
 /// Repeats due store reads and answers due waiters of owned batches.
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -53,7 +53,7 @@
         recordGrant(this->context.state.permits, event, this->context.now);
     }
 
-    void operator()(const BatchDraining &) { this->context.state.draining = true; }
+    void operator()(const BatchDraining &event) { onBatchDraining(this->context, event); }
 
     void operator()(const BatchTick &)
     {
--- a/packages/core/src/batch/batch_ends.cpp
+++ b/packages/core/src/batch/batch_ends.cpp
@@ -50,7 +50,7 @@
             context.state.pendingEnds.emplace(event.batch, PendingBatchEnd{});
     PendingBatchEnd &end = position->second;
     end.pendingReplies.push_back(event.reply);
-    end.answerDeadline = context.now + context.state.settings.storeTimeout;
+    end.answerDeadline = latestAnswerAt(context, context.state.settings.storeTimeout);
     if (!isNew)
         return;
     end.head = head;
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -83,6 +83,29 @@
     return context.state.directory && context.now < context.state.directory->ownershipValidUntil;
 }
 
+Time latestAnswerAt(const BatchContext &context, Duration maxWait)
+{
+    return std::min(context.now + maxWait, context.state.answersDueAt);
+}
+
+void onBatchDraining(BatchContext &context, const BatchDraining &event)
+{
+    BatchState &state = context.state;
+    state.draining = true;
+    state.answersDueAt = event.answersDueAt;
+    const auto limit = [&](Time &deadline) { deadline = std::min(deadline, event.answersDueAt); };
+    for (auto &[id, submission] : state.pendingSubmissions)
+        limit(submission.answerDeadline);
+    for (auto &[id, end] : state.pendingEnds)
+        limit(end.answerDeadline);
+    for (auto &[reply, reader] : state.storeReaders)
+        limit(reader.deadline);
+    for (auto &[id, batch] : state.ownedBatches) {
+        for (ResultWaiter &waiter : batch.waiters)
+            limit(waiter.deadline);
+    }
+}
+
 void onBatchSubmissionReceived(BatchContext &context, const BatchSubmissionReceived &event)
 {
     const BatchId &id = event.spec->id;
@@ -100,7 +123,7 @@
     const auto pending = state.pendingSubmissions.find(id);
     if (pending != state.pendingSubmissions.end()) {
         pending->second.pendingReplies.push_back(event.reply);
-        pending->second.answerDeadline = context.now + state.settings.storeTimeout;
+        pending->second.answerDeadline = latestAnswerAt(context, state.settings.storeTimeout);
         return;
     }
     if (routeOf(context, *event.spec) == nullptr) {
@@ -121,7 +144,7 @@
     submission.head.submittedAt =
             context.now.time_since_epoch() + *state.directory->storeClockOffset;
     submission.pendingReplies.push_back(event.reply);
-    submission.answerDeadline = context.now + state.settings.storeTimeout;
+    submission.answerDeadline = latestAnswerAt(context, state.settings.storeTimeout);
     send(context, state.pendingSubmissions.emplace(id, std::move(submission)).first->second);
 }
 
@@ -182,13 +205,13 @@
     const auto position = context.state.ownedBatches.find(event.batch);
     if (position != context.state.ownedBatches.end() && isOwnershipValid(context)) {
         position->second.waiters.push_back(
-                {event.reply, event.firstPosition, context.now + event.maxWait});
+                {event.reply, event.firstPosition, latestAnswerAt(context, event.maxWait)});
         return answerWaiters(context, position->second);
     }
     StoreReader reader;
     reader.batch = event.batch;
     reader.firstPosition = event.firstPosition;
-    reader.deadline = context.now + event.maxWait;
+    reader.deadline = latestAnswerAt(context, event.maxWait);
     startRead(context, event.reply,
               context.state.storeReaders.emplace(event.reply, std::move(reader)).first->second);
 }
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -274,6 +274,10 @@
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
         std::erase_if(this->state.eventPauses,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
+        if (event.directory->routing)
+            std::erase_if(this->state.answerTimes.slowAnswers, [&](const auto &entry) {
+                return findService(*event.directory->routing, entry.first) == nullptr;
+            });
         std::erase_if(this->state.reportedWaiting,
                       [&](const auto &entry) { return targets.count(entry.first) == 0; });
         retainTargets(this->state.permits,
@@ -281,6 +285,15 @@
         this->retryAwaitingPermits();
     }
 
+    // Requests that wait for targets beyond the stop get their final answer while it can still be
+    // written.
+    void operator()(const EntryDraining &event)
+    {
+        this->state.answersDueAt = event.answersDueAt;
+        for (auto &[reply, request] : this->state.requests)
+            request.deadline = std::min(request.deadline, event.answersDueAt);
+    }
+
     void operator()(const PermitsReceived &event)
     {
         recordGrant(this->state.permits, event, this->now);
@@ -392,6 +405,11 @@
         entry.lastEventId = entry.call->lastEventId;
         if (route->timeout > Duration{})
             entry.deadline = std::min(entry.deadline, this->now + route->timeout);
+        if (this->state.answersDueAt) {
+            if (!this->isFinishable(entry))
+                return this->refuse(position, EntryVerdict::Stopping, status::unavailable);
+            entry.deadline = std::min(entry.deadline, *this->state.answersDueAt);
+        }
         entry.minSilenceLimit =
                 std::max(this->state.settings.minSilenceLimit,
                          route->latencyObjective * this->state.settings.silenceLimitObjectives);
@@ -403,6 +421,16 @@
         this->sendNextAttempt(position);
     }
 
+    // A scoring request has no client; the next owner of its batch repeats it.
+    bool isFinishable(const EntryRequest &request) const
+    {
+        return request.scoreRequest.has_value()
+               || isFinishableBy(this->state.answerTimes,
+                                 {request.service, request.kind == RouteKind::Stream,
+                                  request.repeatable, request.deadline},
+                                 *this->state.answersDueAt, this->now);
+    }
+
     void recordEventPause(EntryAttempt &attempt)
     {
         const Duration pause = this->now - std::exchange(attempt.lastEventAt, this->now);
@@ -748,6 +776,9 @@
         const EntryRequest &request = position->second;
         if (verdict != EntryVerdict::Served && request.digest)
             shareRecords(this->state.suspects, *request.digest);
+        if (verdict == EntryVerdict::Served && !request.scoreRequest)
+            recordAnswerTime(this->state.answerTimes, request.service,
+                             this->now - request.receivedAt);
         if (request.headSent)
             return this->endStream(position, false);
         if (request.scoreRequest) {
--- a/packages/entry/src/attempt_relay.cpp
+++ b/packages/entry/src/attempt_relay.cpp
@@ -136,10 +136,10 @@
     return true;
 }
 
-std::optional<net::CancelKey> AttemptRelay::admit(const std::string &relayId)
+std::optional<net::CancelKey> AttemptRelay::admit(const std::string &relayId, core::Time deadline)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->served.size() >= maxServed)
+    if (this->served.size() >= maxServed || deadline > this->answersDueAt)
         return std::nullopt;
     const net::CancelKey key{firstKey + this->nextKey++};
     this->served[relayId] = key;
@@ -147,16 +147,33 @@
 }
 
 void AttemptRelay::finish(const std::string &relayId)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->served.erase(relayId);
+    }
+    this->becameIdle.notify_all();
+}
+
+void AttemptRelay::drain(core::Time answersDueAt)
 {
     const std::lock_guard lock(this->mutex);
-    this->served.erase(relayId);
+    this->answersDueAt = answersDueAt;
+}
+
+bool AttemptRelay::waitUntilIdle(core::Duration timeout)
+{
+    std::unique_lock lock(this->mutex);
+    return this->becameIdle.wait_for(lock, timeout, [this] { return this->served.empty(); });
 }
 
 void AttemptRelay::serve(const net::PeerMessage &message)
 {
     auto decoded = codec::decodeRelayedAttempt(message.body);
     const bool isAllowed = decoded && this->targets.takesRequests(decoded.value().address);
-    const auto key = isAllowed ? this->admit(decoded.value().id) : std::nullopt;
+    const core::Time deadline =
+            isAllowed ? runtime::now() + decoded.value().timeLeft : core::Time{};
+    const auto key = isAllowed ? this->admit(decoded.value().id, deadline) : std::nullopt;
     if (!key) {
         this->metrics.count("relays_refused");
         return this->peers.reply(
@@ -174,15 +191,15 @@
     request.idHeader = std::move(attempt.idHeader);
     request.headers = std::move(attempt.headers);
     request.body = std::move(attempt.body);
-    request.deadline = runtime::now() + attempt.timeLeft;
+    request.deadline = deadline;
     request.connectTimeout = connectTimeout;
     request.reuseConnection = attempt.reuseConnection;
     request.cancelKey = *key;
     request.done = [this, id = attempt.id, address = request.address,
                     token = message.token](net::HttpResult &&result) {
-        this->finish(id);
         this->targets.onAnswered(address, result);
         this->peers.reply(token, encodeResult(std::move(result)));
+        this->finish(id);
     };
     this->client.send(std::move(request));
 }
--- a/packages/entry/src/attempt_relay.hpp
+++ b/packages/entry/src/attempt_relay.hpp
@@ -6,6 +6,7 @@
 #include <geraniumpulley/net/peer_link.hpp>
 #include <geraniumpulley/runtime/metrics.hpp>
 
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -43,9 +44,16 @@
     /// Cancels a request of another node.
     void serveCancel(const net::PeerMessage &message);
 
+    /// From now on refuses requests of other nodes whose answers may come later than `answersDueAt`.
+    void drain(core::Time answersDueAt);
+
+    /// Waits until no request of another node is in flight.
+    /// \return false if `timeout` passed first.
+    bool waitUntilIdle(core::Duration timeout);
+
 private:
     std::string relayIdOf(std::uint64_t operation) const;
-    std::optional<net::CancelKey> admit(const std::string &relayId);
+    std::optional<net::CancelKey> admit(const std::string &relayId, core::Time deadline);
     void finish(const std::string &relayId);
 
     net::HttpClient &client;
@@ -55,8 +63,10 @@
     RelayedTargets targets;
     std::mutex mutex;
     std::map<std::uint64_t, std::string> peerAddresses; ///< Of this node's relayed requests.
+    std::condition_variable becameIdle;
     std::map<std::string, net::CancelKey> served; ///< Requests of other nodes in flight.
     std::uint64_t nextKey = 0;
+    core::Time answersDueAt = core::Time::max(); ///< Earlier in a planned stop.
 };
 
 /// \return a random node that reaches targets, or nothing if no live peer does.
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -42,6 +42,8 @@
         return "paused_after_crashes";
     case core::EntryVerdict::SoftwareUnknown:
         return "software_unknown";
+    case core::EntryVerdict::Stopping:
+        return "stopping";
     case core::EntryVerdict::Failed:
         return "failed";
     case core::EntryVerdict::TimedOut:
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -4,6 +4,7 @@
 #include "parts.hpp"
 #include "routes.hpp"
 
+#include <geraniumpulley/core/planned_stop.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
 #include <boost/outcome/try.hpp>
@@ -21,10 +22,6 @@
 
 // Limit on the request bodies of all connections together: a quarter of a small machine's memory.
 constexpr std::size_t maxBufferedBytes = 64 * 1024 * 1024;
-// The load balancer checks once a second and sends no new connections after two failed checks.
-constexpr core::Duration loadBalancerDelay = std::chrono::milliseconds(3200);
-// Part of the stop timeout that is reserved for stopping the threads.
-constexpr core::Duration exitMargin = std::chrono::milliseconds(800);
 constexpr std::size_t ringCapacity = 1024;
 
 net::HttpClientSettings clientSettings(const char *name)
@@ -54,6 +51,11 @@
     return static_cast<std::uint64_t>(runtime::wallNow().time_since_epoch().count());
 }
 
+core::Duration timeUntil(core::Time time)
+{
+    return std::max(core::Duration{}, time - runtime::now());
+}
+
 const core::FleetTarget *findByAddress(const core::Directory &directory, const std::string &address)
 {
     const auto position =
@@ -237,21 +239,26 @@
 bool Daemon::drain()
 {
     Parts &parts = this->implementation->parts;
-    const core::Time start = runtime::now();
-    const core::Time deadline = start + this->implementation->settings.stopTimeout - exitMargin;
+    const core::Duration stopTimeout = this->implementation->settings.stopTimeout;
+    const core::StopSchedule schedule = core::makeStopSchedule(runtime::now(), stopTimeout);
     parts.isDraining = true;
-    parts.logger.write("draining");
+    parts.logger.write("draining", field("stop_limit_ms", stopTimeout.count() / 1000));
     parts.callerServer->disableKeepAlive();
+    parts.attemptRelay->drain(schedule.answersDueAt);
+    parts.storeLink->drainRelays(schedule.exitsAt);
+    parts.calls.inbox().push(core::EntryDraining{schedule.answersDueAt});
     parts.fleet.inbox().push(core::FleetDraining{});
-    parts.batches.inbox().push(core::BatchDraining{});
-    const bool handedOver = parts.batchesDrained.waitFor(deadline - runtime::now());
-    // New connections arrive until the load balancer has seen the failed checks.
+    parts.batches.inbox().push(core::BatchDraining{schedule.answersDueAt});
+    // All parts finish beside each other; the waits below only observe them, up to one deadline.
     runtime::Latch neverSet;
-    neverSet.waitFor(std::max(core::Duration{}, start + loadBalancerDelay - runtime::now()));
-    const bool written =
-            parts.callerServer->drain(std::max(core::Duration{}, deadline - runtime::now()));
-    parts.logger.write("drained", field("handed_over", handedOver), field("written", written));
-    return handedOver && written;
+    neverSet.waitFor(timeUntil(schedule.listenerClosesAt));
+    const bool written = parts.callerServer->drain(timeUntil(schedule.exitsAt));
+    const bool relayed = parts.attemptRelay->waitUntilIdle(timeUntil(schedule.exitsAt))
+                         && parts.peerLink->flush(timeUntil(schedule.exitsAt));
+    const bool handedOver = parts.batchesDrained.waitFor(timeUntil(schedule.exitsAt));
+    parts.logger.write("drained", field("handed_over", handedOver), field("written", written),
+                       field("relayed", relayed));
+    return handedOver && written && relayed;
 }
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/store_link.cpp
+++ b/packages/entry/src/store_link.cpp
@@ -118,12 +118,27 @@
         this->parts.logger.write("relay_message_malformed", field("error", call.error().message()));
         return this->parts.peers.reply(message.token, codec::encodeRelay(StoreReply{}));
     }
+    if (!this->takesRelays(runtime::now() + call.value().timeLeft))
+        return this->parts.peers.reply(
+                message.token, codec::encodeRelay(StoreReply{codec::RelayOutcome::NotSent, 0, {}}));
     this->callStore({call.value().method, call.value().requestTarget, call.value().body},
                     call.value().timeLeft, [this, token = message.token](StoreReply &&reply) {
                         this->parts.peers.reply(token, codec::encodeRelay(reply));
                     });
 }
 
+void StoreLink::drainRelays(core::Time endsAt)
+{
+    const std::lock_guard lock(this->mutex);
+    this->relaysEndAt = endsAt;
+}
+
+bool StoreLink::takesRelays(core::Time deadline)
+{
+    const std::lock_guard lock(this->mutex);
+    return deadline <= this->relaysEndAt;
+}
+
 void StoreLink::setPeers(std::vector<std::string> addresses)
 {
     const std::lock_guard lock(this->mutex);
--- a/packages/entry/src/store_link.hpp
+++ b/packages/entry/src/store_link.hpp
@@ -54,6 +54,9 @@
     /// Executes a call for another node and sends the reply to that node.
     void relay(const net::PeerMessage &message);
 
+    /// From now on refuses calls of other nodes that may last longer than until `endsAt`.
+    void drainRelays(core::Time endsAt);
+
     /// Replaces the addresses of the other nodes. The seeds are used while there are none.
     void setPeers(std::vector<std::string> addresses);
     void setSeeds(std::vector<std::string> addresses);
@@ -67,6 +70,7 @@
     void sendDirect(StoreRequest &&request, bool mayRelay);
     void sendRelayed(StoreRequest &&request, std::string address);
     void callStore(const platform::StoreCall &call, core::Duration timeout, Done done);
+    bool takesRelays(core::Time deadline);
     void recordDirect(bool served);
     void recordRelayed(bool served);
 
@@ -77,6 +81,7 @@
     std::vector<std::string> seedAddresses;
     std::vector<std::string> peerAddresses;
     std::size_t nextPeerIndex = 0;
+    core::Time relaysEndAt = core::Time::max(); ///< Earlier in a planned stop.
 };
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/tests/unit-attempt_relay.cpp
+++ b/packages/entry/tests/unit-attempt_relay.cpp
@@ -181,3 +181,26 @@
     sender.relay->send(peer.node(), 1, makeRequest(listener.address(), done));
     CHECK(done.get_future().get().failure == net::SendFailure::NotSent);
 }
+
+// Guards against requests of other nodes that were cut at the exit of the node that sent them.
+TEST_CASE("a stopping node passes on no request of a peer that may outlast the stop")
+{
+    const RelayingNode sender("sender");
+    const RelayingNode peer("peer");
+    Listener listener;
+    std::promise<net::HttpResult> early;
+    sender.relay->send(peer.node(), 1, makeRequest(listener.address(), early));
+    tcp::socket socket(listener.io);
+    listener.readRequest(socket);
+    peer.relay->drain(runtime::now() + 5s);
+    std::promise<net::HttpResult> late;
+    sender.relay->send(peer.node(), 2, makeRequest(listener.address(), late));
+    CHECK(late.get_future().get().failure == net::SendFailure::NotSent);
+    CHECK_FALSE(peer.relay->waitUntilIdle(0s));
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                                                       "r1\r\nContent-Length: 2\r\n\r\nok")));
+    CHECK(peer.relay->waitUntilIdle(10s));
+    CHECK(peer.link->flush(10s));
+    CHECK(early.get_future().get().body == "ok");
+}
--- a/packages/net/include/geraniumpulley/net/peer_link.hpp
+++ b/packages/net/include/geraniumpulley/net/peer_link.hpp
@@ -81,6 +81,10 @@
     /// closed, the reply is dropped, and the sender sees `AnswerLost` at its deadline.
     void reply(core::ReplyToken token, std::string body);
 
+    /// Waits until the earlier replies have been passed to their connections.
+    /// \return false if `timeout` passed first or the ring is full.
+    bool flush(core::Duration timeout);
+
     /// Stops the thread. No callback runs after it returns, and later messages fail at once.
     void stop();
 
--- a/packages/net/src/peer_link.cpp
+++ b/packages/net/src/peer_link.cpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/net/detail/event_loop.hpp>
 #include <geraniumpulley/net/detail/h2_session.hpp>
+#include <geraniumpulley/runtime/latch.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -27,7 +28,13 @@
     std::string body;
 };
 
-using PeerCommand = std::variant<PeerRequest, ReplyCommand>;
+// Is set once the commands before it have been handled.
+struct FlushCommand
+{
+    std::shared_ptr<runtime::Latch> handled;
+};
+
+using PeerCommand = std::variant<PeerRequest, ReplyCommand, FlushCommand>;
 
 // A request that has no reply yet, with the timer of its deadline.
 struct InFlightRequest
@@ -256,6 +263,8 @@
             session->submitReply(replyStream.streamId, std::move(command.body));
     }
 
+    void operator()(FlushCommand &&command) { command.handled->set(); }
+
     PeerLinkSettings settings;
     MessageHandler handler;
     detail::EventLoop<PeerCommand> loop;
@@ -312,6 +321,13 @@
             this->implementation->loop.inbox().tryPush(ReplyCommand{token, std::move(body)}));
 }
 
+bool PeerLink::flush(core::Duration timeout)
+{
+    const auto handled = std::make_shared<runtime::Latch>();
+    return this->implementation->loop.inbox().tryPush(FlushCommand{handled})
+           && handled->waitFor(timeout);
+}
+
 void PeerLink::stop()
 {
     this->implementation->loop.stop();
--- a/packages/node/src/daemon.cpp
+++ b/packages/node/src/daemon.cpp
@@ -188,6 +188,7 @@
     Parts &parts = this->implementation->parts;
     parts.isDraining = true;
     parts.logger.write("draining");
+    parts.callerServer->disableKeepAlive();
     parts.dispatch.inbox().push(core::DispatchDraining{});
     const bool callsFinished =
             parts.callsDrained.waitFor(this->implementation->settings.drainTimeout);
--- a/tests/live/fleet.hpp
+++ b/tests/live/fleet.hpp
@@ -15,6 +15,7 @@
 {
     std::uint32_t status = 0; ///< The HTTP status; 0 when no answer was received.
     std::string outcome; ///< The value of the X-Outcome header.
+    std::string retryAfter; ///< The value of the Retry-After header.
     std::string body;
 };
 
