Settings: times may have a fraction, and missing values read as the defaults

Cause: the template writes three zeros behind the number of seconds, 7.5000, and the reader took whole numbers only. The same limit stood for lease_time_ms; a value that the platform does not have left text that is no JSON.

Change: times are read with fractions. stop_limit_s is the key from now on; stop_limit_ms stays and, written with a decimal point, is one of seconds.

--- a/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
+++ b/packages/codec/include/geraniumpulley/codec/detail/json_reader.hpp
@@ -42,6 +42,8 @@
     std::uint64_t readNumber(const char *key, Range range = {},
                              std::optional<std::uint64_t> fallback = std::nullopt);
     double readReal(const char *key, std::optional<double> fallback = std::nullopt);
+    /// Reads a number that may be missing. \return nothing also after a problem.
+    std::optional<double> readOptionalReal(const char *key);
     bool readBool(const char *key, std::optional<bool> fallback = std::nullopt);
     /// Reads a whole number of milliseconds, at least `minimum` and at most one day.
     core::Duration readMilliseconds(const char *key, core::Duration minimum,
--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -60,6 +60,17 @@
     return 0;
 }
 
+std::optional<double> JsonReader::readOptionalReal(const char *key)
+{
+    const web::json::value *field = this->findField(key);
+    if (field == nullptr)
+        return std::nullopt;
+    if (field->is_number())
+        return field->as_double();
+    this->report(key, "is not a number", "a number");
+    return std::nullopt;
+}
+
 bool JsonReader::readBool(const char *key, std::optional<bool> fallback)
 {
     const web::json::value *field = this->findField(key);
--- a/packages/entry/tests/unit-settings.cpp
+++ b/packages/entry/tests/unit-settings.cpp
@@ -1,7 +1,14 @@
 #include <geraniumpulley/entry/settings.hpp>
 
+#include <cpprest/json.h>
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <set>
+#include <string>
+
 using namespace geraniumpulley;
 using namespace std::chrono_literals;
 
@@ -18,6 +25,45 @@
     return original;
 }
 
+using TemplateValues = std::map<std::string, std::string>;
+
+TemplateValues templateValues()
+{
+    return {{"node|json", R"("n")"},
+            {"zone|json", R"("z")"},
+            {"listen.front|json", R"("127.0.0.1:1")"},
+            {"listen.ready|json", R"("127.0.0.1:2")"},
+            {"listen.control|json", R"("127.0.0.1:3")"},
+            {"ip", "127.0.0.1"},
+            {"internal_ports.0", "4"},
+            {"provider.address|json", R"("127.0.0.1:5")"},
+            {"seeds|json", R"(["127.0.0.1:6"])"},
+            {"limits.cpu_share", "0.5"},
+            {"limits.cores", "1"},
+            {"bounds.grace_s", "8"},
+            {"bounds.lease_ms", "3000"}};
+}
+
+// Fills in the template of the deployment as the platform does. Without a value nothing is written.
+std::string renderTemplate(const TemplateValues &values)
+{
+    std::ifstream file(SOURCE_DIRECTORY "/deploy/settings.json.in");
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    for (std::size_t start = text.find("{{"); start != std::string::npos; start = text.find("{{")) {
+        const std::size_t end = text.find("}}", start);
+        const auto value = values.find(text.substr(start + 2, end - start - 2));
+        text.replace(start, end + 2 - start, value == values.end() ? "" : value->second);
+    }
+    return text;
+}
+
+entry::ParsedSettings parseTemplate(const std::string &name, const std::string &value)
+{
+    TemplateValues values = templateValues();
+    values[name] = value;
+    return entry::parseSettings(renderTemplate(values));
+}
+
 } // namespace
 
 TEST_CASE("settings for the platform's interface are parsed")
@@ -58,3 +104,84 @@
         CHECK(places.find(key) != std::string::npos);
     }
 }
+
+// Guards against nodes that do not start where the time up to the forced kill is a fraction.
+TEST_CASE("a time in the template's settings may be a whole number or a fraction")
+{
+    const std::map<std::string, core::Duration> stopTimeouts{
+            {"8", 8s}, {"7.5", 7500ms}, {"0.25", 250ms}, {"8.0", 8s}, {"12.125", 12125ms}};
+    for (const auto &[seconds, expected] : stopTimeouts) {
+        CAPTURE(seconds);
+        const entry::ParsedSettings parsed = parseTemplate("bounds.grace_s", seconds);
+        REQUIRE(parsed.problems.empty());
+        CHECK(parsed.settings.stopTimeout == expected);
+    }
+    CHECK(parseTemplate("bounds.lease_ms", "2500.5").settings.leaseDuration == 2500500us);
+    CHECK(parseTemplate("limits.cores", "2").settings.capacityMillicores == 1000);
+    CHECK(parseTemplate("limits.cores", "1.5").settings.capacityMillicores == 750);
+}
+
+TEST_CASE("values that the platform does not have read as the defaults")
+{
+    for (const char *name : {"bounds.grace_s", "bounds.lease_ms", "limits.cpu_share",
+                             "limits.cores", "seeds|json", "internal_ports.0"}) {
+        CAPTURE(name);
+        TemplateValues values = templateValues();
+        values.erase(name);
+        const entry::ParsedSettings parsed = entry::parseSettings(renderTemplate(values));
+        CHECK(parsed.problems.empty());
+    }
+    CHECK(parseTemplate("internal_ports.0", "").settings.metricsAddress.empty());
+    CHECK(parseTemplate("seeds|json", "null").problems.empty());
+    CHECK(parseTemplate("seeds|json", "[]").problems.empty());
+}
+
+TEST_CASE("a value that makes no sense is one problem that names its key and what is allowed")
+{
+    const std::map<std::string, std::string> places{{"bounds.grace_s", "/stop_limit_ms"},
+                                                    {"bounds.lease_ms", "/lease_time_ms"},
+                                                    {"limits.cpu_share", "/core_share"}};
+    for (const auto &[name, place] : places) {
+        for (const char *value : {"true", "-1", "1e9"}) {
+            CAPTURE(name);
+            CAPTURE(value);
+            const entry::ParsedSettings parsed = parseTemplate(name, value);
+            REQUIRE(parsed.problems.size() == 1);
+            const bool isSyntaxError = parsed.problems.front().place.empty();
+            if (!isSyntaxError)
+                CHECK(parsed.problems.front().place == place);
+            CHECK_FALSE(parsed.problems.front().allowed.empty());
+        }
+    }
+}
+
+TEST_CASE("the stop limit can be given in seconds, but not twice")
+{
+    const std::string inSeconds =
+            replaced(settingsText, R"("stop_limit_ms":8000)", R"("stop_limit_s":7.5)");
+    const entry::ParsedSettings parsed = entry::parseSettings(inSeconds);
+    REQUIRE(parsed.problems.empty());
+    CHECK(parsed.settings.stopTimeout == 7500ms);
+    const std::string twice = replaced(settingsText, R"("stop_limit_ms":8000)",
+                                       R"("stop_limit_ms":8000,"stop_limit_s":8)");
+    REQUIRE(entry::parseSettings(twice).problems.size() == 1);
+    CHECK(entry::parseSettings(twice).problems.front().place == "/stop_limit_ms");
+}
+
+// Guards against an upgrade in which nodes of the earlier build cannot read the settings: they know
+// these keys only, and read times as whole milliseconds.
+TEST_CASE("the build before this one can read the template's settings where times are whole")
+{
+    const web::json::value settings = web::json::value::parse(renderTemplate(templateValues()));
+    const std::set<std::string> knownKeys{
+            "interface",     "node",       "data_centre", "callers", "readiness",
+            "peers",         "metrics",    "store",       "seeds",   "stop_limit_ms",
+            "lease_time_ms", "core_share", "core_speed"};
+    for (const auto &[key, value] : settings.as_object()) {
+        CAPTURE(key);
+        CHECK(knownKeys.count(key) == 1);
+    }
+    CHECK(settings.at("stop_limit_ms").as_number().is_uint64());
+    CHECK(settings.at("stop_limit_ms").as_number().to_uint64() == 8000);
+    CHECK(settings.at("lease_time_ms").as_number().is_uint64());
+}
