Transactions of batches reserve their room by entries and bytes

Cause: a release put all partial texts into one transaction, whose bytes nothing counted; results beside partial texts missed the limit in the same way, and a text above 400 KB was never stored as a partial text. A rejection counted as an unknown outcome, so the same write was sent for ever without a line in the log. Ruled out: a smaller constant for the bytes of texts (keys, encoding and results share the same call).

Change: TransactionBudget counts what a transaction holds, encoded and with its keys. A release stores texts in as many commits as they need, each once, and frees the head with the last ones. Periodic writes go on with the text that had no room. StoreOutcome::Rejected is a refusal that would come again: commits get smaller, releases go without texts, submissions and ends are refused at once; each is logged (store_call_rejected) and counted.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -113,6 +113,7 @@
     Committed, ///< The rows are in the store.
     Superseded, ///< Another node owns the batch, or the batch has ended.
     NotCommitted, ///< Nothing was written.
+    Rejected, ///< Nothing was written, and the same write would be rejected again.
     Unknown, ///< The rows may have been written, or may still be.
 };
 /// The store has answered a `StoreResults`, or did not answer in time.
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -36,10 +36,7 @@
     Duration partialPeriod = std::chrono::milliseconds(1000);
     /// New events that a partial text must have to be written.
     std::uint64_t minPartialEvents = 8;
-    /// Results in one transaction. With the byte limit below it stays under the store's 1 MB.
-    std::size_t maxCommitResults = 24;
-    /// Text bytes of the results in one transaction, and likewise of its partial texts.
-    std::size_t maxCommitBytes = 400 * 1024;
+    std::size_t maxCommitResults = 24; ///< Results in one transaction.
     std::size_t maxAnswerBytes = 700 * 1024; ///< Text bytes of the results in one answer.
     /// Delay of a takeover for each node that is ranked before this one.
     Duration takeoverDelayPerRank = std::chrono::milliseconds(700);
@@ -140,8 +137,12 @@
     std::vector<ResultWaiter> waiters;
     Time submittedAt{}; ///< Time of the submission on this node's clock.
     Time nextPartialsAt{}; ///< Time of the next write of partial texts.
+    /// Item whose text did not fit the last write of partial texts; the next one begins with it.
+    std::uint32_t nextPartialItem = 0;
     bool completionReported = false; ///< `OwnershipChange::Complete` has been reported.
     bool releaseInFlight = false; ///< A head without an owner is being written.
+    /// Number of items whose texts were stored since the batch began to be released.
+    std::uint32_t releasedItems = 0;
     Time releaseRetryAt{};
 };
 
--- a/packages/core/include/geraniumpulley/core/http_status.hpp
+++ b/packages/core/include/geraniumpulley/core/http_status.hpp
@@ -22,5 +22,6 @@
 inline constexpr std::uint32_t badGateway = 502;
 inline constexpr std::uint32_t unavailable = 503;
 inline constexpr std::uint32_t gatewayTimeout = 504;
+inline constexpr std::uint32_t insufficientStorage = 507;
 
 } // namespace geraniumpulley::core::status
--- a/packages/core/include/geraniumpulley/core/store_outcome.hpp
+++ b/packages/core/include/geraniumpulley/core/store_outcome.hpp
@@ -7,6 +7,7 @@
     Committed, ///< The write was applied.
     Conflict, ///< A condition did not hold; nothing was written.
     NotCommitted, ///< The write was refused or not sent; nothing was written.
+    Rejected, ///< Nothing was written, and the same write would be rejected again.
     Unknown, ///< No answer came; the write may have happened or may still happen.
 };
 
--- a/packages/core/src/batch/batch_commits.cpp
+++ b/packages/core/src/batch/batch_commits.cpp
@@ -3,24 +3,75 @@
 #include <geraniumpulley/core/backoff.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace geraniumpulley::core {
 namespace {
 
-std::size_t countCommittable(const OwnedBatch &batch, const BatchSettings &settings)
+// Size of the other fields of a result or partial text, with their encoding.
+constexpr std::size_t fieldBytes = 96;
+constexpr std::size_t versionBytes = 9;
+// Tables and keys of a batch's rows, without the batch's id.
+constexpr std::size_t rowNameBytes = 64;
+
+std::size_t nameBytes(const OwnedBatch &batch)
+{
+    return rowNameBytes + batch.head.id.value.size();
+}
+
+std::size_t storedBytes(const ItemResult &result)
+{
+    return fieldBytes + result.id.value.size() + result.text.size() + result.score.size()
+           + result.versions.size() * versionBytes;
+}
+
+std::size_t storedBytes(const ItemState &item)
+{
+    return fieldBytes + item.text.size() + item.software.value.size()
+           + item.versions.size() * versionBytes;
+}
+
+// A result that no transaction has room for is sent alone, and the store's answer is logged.
+std::size_t countCommittable(const OwnedBatch &batch, const BatchSettings &settings,
+                             TransactionBudget &budget)
 {
-    std::size_t bytes = 0;
     std::size_t count = 0;
     while (count < batch.uncommittedResults.size() && count < settings.maxCommitResults) {
-        bytes += batch.uncommittedResults[count].text.size();
-        if (count > 0 && bytes > settings.maxCommitBytes)
-            break;
+        const ItemResult &result = batch.uncommittedResults[count];
+        if (!reserveValue(budget, storedBytes(result), nameBytes(batch)))
+            return std::max<std::size_t>(count, 1);
         ++count;
     }
     return count;
 }
 
+// Selects texts from the item on at which the last selection ended, so that each has its turn.
+std::vector<PartialText> selectNextPartials(OwnedBatch &batch, std::uint64_t newEvents,
+                                            TransactionBudget &budget)
+{
+    const auto itemCount = static_cast<std::uint32_t>(batch.items.size());
+    const std::uint32_t first = batch.nextPartialItem;
+    PartialSelection selection = selectPartials(batch, newEvents, first, itemCount, budget);
+    if (selection.endItem == itemCount) {
+        PartialSelection others = selectPartials(batch, newEvents, 0, first, budget);
+        std::move(others.partials.begin(), others.partials.end(),
+                  std::back_inserter(selection.partials));
+        selection.endItem = others.endItem;
+    }
+    batch.nextPartialItem = selection.endItem;
+    return std::move(selection.partials);
+}
+
+// Removes a part of a commit that the store has rejected as it was.
+void shrink(PendingCommit &commit)
+{
+    if (!commit.partials.empty())
+        commit.partials.clear();
+    else if (commit.resultCount > 1)
+        commit.resultCount /= 2;
+}
+
 void send(BatchContext &context, OwnedBatch &batch)
 {
     PendingCommit &commit = *batch.commit;
@@ -56,16 +107,40 @@
 
 } // namespace
 
-std::vector<PartialText> collectPartials(const OwnedBatch &batch, std::uint64_t newEvents)
+TransactionBudget ownerBudget(const OwnedBatch &batch)
+{
+    constexpr std::size_t conditions = 2; // The owner's row and the position of the first result.
+    TransactionBudget budget;
+    static_cast<void>(reserveNames(budget, conditions, nameBytes(batch)));
+    return budget;
+}
+
+PartialSelection selectPartials(const OwnedBatch &batch, std::uint64_t newEvents,
+                                std::uint32_t firstItem, std::uint32_t endItem,
+                                TransactionBudget &budget)
 {
-    std::vector<PartialText> partials;
-    for (std::uint32_t i = 0; i < batch.items.size(); ++i) {
+    PartialSelection selection;
+    for (std::uint32_t i = firstItem; i < endItem; ++i) {
         const ItemState &item = batch.items[i];
-        if (item.phase != ItemPhase::Finished
-            && item.lastEventId >= item.lastStoredEventId + newEvents)
-            partials.push_back({i, item.text, item.lastEventId, item.versions, item.software});
+        if (item.phase == ItemPhase::Finished
+            || item.lastEventId < item.lastStoredEventId + newEvents)
+            continue;
+        if (!reserveValue(budget, storedBytes(item), nameBytes(batch))) {
+            selection.endItem = i;
+            return selection;
+        }
+        selection.partials.push_back(
+                {i, item.text, item.lastEventId, item.versions, item.software});
     }
-    return partials;
+    selection.endItem = endItem;
+    return selection;
+}
+
+void commitPartials(BatchContext &context, OwnedBatch &batch, std::vector<PartialText> partials)
+{
+    batch.commit.emplace();
+    batch.commit->partials = std::move(partials);
+    send(context, batch);
 }
 
 void advanceCommit(BatchContext &context, OwnedBatch &batch)
@@ -79,15 +154,11 @@
         return;
     }
     PendingCommit commit;
-    commit.resultCount = countCommittable(batch, settings);
+    TransactionBudget budget = ownerBudget(batch);
+    commit.resultCount = countCommittable(batch, settings, budget);
     if (batch.nextPartialsAt <= context.now) {
         batch.nextPartialsAt = context.now + settings.partialPeriod;
-        commit.partials = collectPartials(batch, settings.minPartialEvents);
-        std::size_t bytes = 0;
-        std::erase_if(commit.partials, [&](const PartialText &partial) {
-            bytes += partial.text.size();
-            return bytes > settings.maxCommitBytes;
-        });
+        commit.partials = selectNextPartials(batch, settings.minPartialEvents, budget);
     }
     if (commit.resultCount == 0 && commit.partials.empty())
         return;
@@ -109,9 +180,15 @@
         return advanceCommit(context, batch);
     case CommitVerdict::Superseded:
         return closeBatch(context, event.batch, OwnershipChange::Superseded);
+    case CommitVerdict::Rejected:
+        shrink(*batch.commit);
+        if (batch.commit->resultCount == 0)
+            return batch.commit.reset();
+        [[fallthrough]];
     case CommitVerdict::NotCommitted:
     case CommitVerdict::Unknown:
-        // The retry sends the same rows, so a delayed write of an earlier attempt has no effect.
+        // The retry sends the same rows, or the first of them after a rejection, so a delayed write
+        // of an earlier attempt has no effect.
         batch.commit->retryAt =
                 context.now
                 + backoffDelay(context.state.settings.storeRetryDelay,
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumpulley/core/batch/batch_duty.hpp>
+#include <geraniumpulley/core/transaction_budget.hpp>
 
 #include <cstdint>
 #include <set>
@@ -57,8 +58,21 @@
 /// Sends the next results and partial texts to the store, unless a commit is in flight.
 void advanceCommit(BatchContext &context, OwnedBatch &batch);
 void onResultsStored(BatchContext &context, const ResultsStored &event);
-/// \return the texts of unfinished items with at least `newEvents` events that are not stored yet.
-std::vector<PartialText> collectPartials(const OwnedBatch &batch, std::uint64_t newEvents);
+/// Partial texts for one transaction.
+struct PartialSelection
+{
+    std::vector<PartialText> partials;
+    std::uint32_t endItem = 0; ///< The items before this one have been considered.
+};
+/// Selects the texts of unfinished items with at least `newEvents` events that are not stored yet.
+/// Stops before `endItem` at the first one for which the transaction has no room.
+PartialSelection selectPartials(const OwnedBatch &batch, std::uint64_t newEvents,
+                                std::uint32_t firstItem, std::uint32_t endItem,
+                                TransactionBudget &budget);
+/// Sends partial texts to the store. No commit may be in flight.
+void commitPartials(BatchContext &context, OwnedBatch &batch, std::vector<PartialText> partials);
+/// \return the room for results and texts in a transaction of the owner.
+TransactionBudget ownerBudget(const OwnedBatch &batch);
 
 // batch_ownership.cpp
 
--- a/packages/core/src/batch/batch_ends.cpp
+++ b/packages/core/src/batch/batch_ends.cpp
@@ -73,6 +73,8 @@
     }
     if (position == context.state.pendingEnds.end())
         return;
+    if (event.outcome == StoreOutcome::Rejected)
+        return answer(context, id, ReadVerdict::StoreUnavailable);
     PendingBatchEnd &end = position->second;
     end.inFlight = false;
     if (event.outcome != StoreOutcome::Conflict) {
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -57,6 +57,17 @@
     return !stored.results.empty() || !stored.partials.empty();
 }
 
+// Reserves room for a head, which is stored in two rows.
+void reserveHead(TransactionBudget &budget, const BatchHead &head)
+{
+    constexpr std::size_t headRows = 2;
+    constexpr std::size_t fieldBytes = 128;
+    const std::size_t nameBytes = fieldBytes + head.id.value.size();
+    const std::size_t valueBytes = fieldBytes + head.owner.value.size() + head.model.size();
+    for (std::size_t row = 0; row < headRows; ++row)
+        static_cast<void>(reserveValue(budget, valueBytes, nameBytes));
+}
+
 Time toLocalTime(const BatchContext &context, Duration storeClock)
 {
     const auto &offset = context.state.directory->storeClockOffset;
@@ -164,6 +175,35 @@
     }
     batch.releaseInFlight = false;
     batch.releaseRetryAt = context.now + context.state.settings.storeRetryDelay;
+    // The texts that were to be stored with the head are given up.
+    if (event.outcome == StoreOutcome::Rejected)
+        batch.releasedItems = batch.head.itemCount;
+}
+
+// Stores the texts in as many transactions as they need, the last ones together with the head, so
+// that the next owner goes on behind them. Texts grow meanwhile; each is stored once.
+void release(BatchContext &context, OwnedBatch &batch)
+{
+    const auto itemCount = static_cast<std::uint32_t>(batch.items.size());
+    while (true) {
+        TransactionBudget budget = ownerBudget(batch);
+        reserveHead(budget, batch.head);
+        PartialSelection selection =
+                selectPartials(batch, 1, batch.releasedItems, itemCount, budget);
+        batch.releasedItems = selection.endItem;
+        if (selection.endItem == itemCount) {
+            batch.releaseInFlight = true;
+            BatchHead head = batch.head;
+            head.owner = {};
+            context.actions.emplace_back(
+                    StoreHead{std::move(head), batch.head.version, std::move(selection.partials)});
+            return;
+        }
+        if (!selection.partials.empty())
+            return commitPartials(context, batch, std::move(selection.partials));
+        // A text that not even an empty transaction has room for is generated again.
+        ++batch.releasedItems;
+    }
 }
 
 void onClaimStored(BatchContext &context, const HeadStored &event)
@@ -302,16 +342,12 @@
 
 void advanceReleases(BatchContext &context)
 {
-    if (!releasesBatches(context.state, context.now))
-        return;
+    const bool isReleasing = releasesBatches(context.state, context.now);
     for (auto &[id, batch] : context.state.ownedBatches) {
-        if (batch.releaseInFlight || batch.commit || batch.releaseRetryAt > context.now)
-            continue;
-        batch.releaseInFlight = true;
-        BatchHead head = batch.head;
-        head.owner = {};
-        context.actions.emplace_back(
-                StoreHead{std::move(head), batch.head.version, collectPartials(batch, 1)});
+        if (!isReleasing)
+            batch.releasedItems = 0;
+        else if (!batch.releaseInFlight && !batch.commit && batch.releaseRetryAt <= context.now)
+            release(context, batch);
     }
 }
 
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -161,6 +161,12 @@
                                         state.settings.maxStoreRetryDelay, submission.failures++);
     if (event.outcome == StoreOutcome::Unknown)
         submission.maybeStored = true;
+    if (event.outcome == StoreOutcome::Rejected) {
+        answer(context, submission,
+               submission.maybeStored ? SubmitVerdict::Uncertain : SubmitVerdict::StoreUnavailable);
+        state.pendingSubmissions.erase(position);
+        return;
+    }
     const bool isStored = event.outcome == StoreOutcome::Committed
                           || (event.outcome == StoreOutcome::Conflict && event.found);
     if (!isStored)
--- a/packages/entry/src/batch_store.cpp
+++ b/packages/entry/src/batch_store.cpp
@@ -63,13 +63,9 @@
 void addPartials(platform::Transaction &transaction, const core::BatchId &id,
                  const std::vector<core::PartialText> &partials)
 {
-    for (const core::PartialText &partial : partials) {
-        if (transaction.writes.size() + transaction.conditions.size() + 2
-            > platform::maxTransactionEntries)
-            return;
+    for (const core::PartialText &partial : partials)
         addChunks(transaction, id, partialPrefix, partial.itemIndex,
                   codec::encodePartialText(partial));
-    }
 }
 
 // Maps the reply to a verdict. If the fencing token still matches in a conflict, the position is
@@ -82,6 +78,8 @@
         return core::CommitVerdict::Committed;
     case core::StoreOutcome::NotCommitted:
         return core::CommitVerdict::NotCommitted;
+    case core::StoreOutcome::Rejected:
+        return core::CommitVerdict::Rejected;
     case core::StoreOutcome::Unknown:
         return core::CommitVerdict::Unknown;
     case core::StoreOutcome::Conflict:
--- a/packages/entry/src/store_link.cpp
+++ b/packages/entry/src/store_link.cpp
@@ -103,9 +103,14 @@
     request.deadline = runtime::now() + timeout;
     request.connectTimeout = connectTimeout;
     request.reuseConnection = true;
-    request.done = [this, done = std::move(done),
+    request.done = [this, target = call.target, bytes = call.body.size(), done = std::move(done),
                     sentAt = runtime::now()](net::HttpResult &&result) {
         this->parts.metrics.observe("store_call", runtime::now() - sentAt);
+        if (platform::isRejection(result.status)) {
+            this->parts.metrics.count("store_calls_rejected");
+            this->parts.logger.write("store_call_rejected", field("target", target),
+                                     field("status", result.status), field("bytes", bytes));
+        }
         done(toReply(std::move(result)));
     };
     this->parts.caller.send(std::move(request));
--- a/packages/entry/src/table_names.cpp
+++ b/packages/entry/src/table_names.cpp
@@ -1,5 +1,7 @@
 #include "table_names.hpp"
 
+#include <geraniumpulley/core/transaction_budget.hpp>
+
 #include <fmt/format.h>
 
 namespace geraniumpulley::entry {
@@ -30,9 +32,9 @@
                std::size_t number, const std::string &value)
 {
     std::size_t chunk = 0;
-    for (std::size_t offset = 0; chunk == 0 || offset < value.size(); offset += maxRowBytes)
-        transaction.writes.push_back(
-                {numberedRow(id, prefix, number, chunk++), value.substr(offset, maxRowBytes)});
+    for (std::size_t offset = 0; chunk == 0 || offset < value.size(); offset += core::maxRowBytes)
+        transaction.writes.push_back({numberedRow(id, prefix, number, chunk++),
+                                      value.substr(offset, core::maxRowBytes)});
 }
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -31,9 +31,6 @@
 /// Table of the software that began each resumable stream, by the id of the client's attempt.
 inline constexpr const char *originsTable = "stream-origins";
 
-/// Limit on the value of a row, in bytes; the limit of the store is 64 KiB.
-inline constexpr std::size_t maxRowBytes = 60 * 1024;
-
 platform::RowName headRow(const core::BatchId &id);
 platform::RowName ownerRow(const core::BatchId &id);
 platform::RowName resultRow(const core::BatchId &id, std::uint64_t position, std::size_t chunk);
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -1,6 +1,8 @@
 #include "stored_batch.hpp"
 #include "table_names.hpp"
 
+#include <geraniumpulley/core/transaction_budget.hpp>
+
 #include <geraniumpulley/codec/row_messages.hpp>
 
 #include <doctest/doctest.h>
@@ -72,7 +74,7 @@
 TEST_CASE("no row value exceeds the size limit")
 {
     for (const platform::RowWrite &write : makeBatchRows(300'000).writes)
-        CHECK(write.value.size() <= entry::maxRowBytes);
+        CHECK(write.value.size() <= core::maxRowBytes);
 }
 
 TEST_CASE("a batch without its head or its submitted body is rejected")
--- a/tests/live/unit-live_planned_stop.cpp
+++ b/tests/live/unit-live_planned_stop.cpp
@@ -7,14 +7,24 @@
 
 namespace {
 
-bool isDraining(live::PlatformFleet &fleet, const std::string &node)
+bool hasLogged(live::PlatformFleet &fleet, const std::string &node, const std::string &text)
 {
     const std::vector<std::string> lines = fleet.process(node).lines();
-    return std::any_of(lines.begin(), lines.end(), [](const std::string &line) {
-        return line.find("event=draining") != std::string::npos;
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string &line) {
+        return line.find(text) != std::string::npos;
     });
 }
 
+// Returns the size of the partial texts of a batch in the store, encoded.
+std::size_t partialTextBytes(live::PlatformFleet &fleet, const std::string &batch)
+{
+    return live::fetch("http://" + fleet.addresses.at("store")
+                               + "/-/rows-get?table=batch-contents&part=" + batch
+                               + "&from=partial&to=partial~",
+                       "GET")
+            .body.size();
+}
+
 } // namespace
 
 // Guards against streams and requests that may not be repeated, which a stopping node passed on
@@ -35,7 +45,7 @@
             == 200);
 
     fleet.process("node-a").signal(SIGTERM);
-    REQUIRE(fleet.waitFor([&] { return isDraining(fleet, "node-a"); }));
+    REQUIRE(fleet.waitFor([&] { return hasLogged(fleet, "node-a", "event=draining"); }));
     const live::HttpReply refused = fleet.call("node-a", "POST", "/chat/1", "late-stream", "x",
                                                {{"X-Deadline-Ms", longLimit}});
     CHECK(refused.status == 503);
@@ -54,3 +64,40 @@
     REQUIRE(fleet.waitFor([&] { return fleet.process("node-a").hasEnded(status); }));
     CHECK(status == 0);
 }
+
+// Guards against a hand-over that exceeds the store's limit on a transaction: it was rejected until
+// the node exited, and requests that came meanwhile were cut.
+TEST_CASE("on the platform a node in a planned stop hands over texts of any length")
+{
+    live::PlatformFleet fleet;
+    REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
+    fleet.startWorker("orders-1", "orders", "");
+    fleet.startWorker("engine-1", "engines", "m");
+    // A text takes 5.5 s; after 2 s or 3 s the six of them exceed a transaction of 1 MB.
+    fleet.configureWorker("engine-1", R"({"events": 550, "event_bytes": 1000})");
+    fleet.startNode("node-a");
+    fleet.startNode("node-b");
+    REQUIRE(fleet.waitUntilReady());
+    REQUIRE(fleet.waitFor([&] {
+        return fleet.call("node-a", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status
+               == 202;
+    }));
+    std::string owner;
+    REQUIRE(fleet.waitFor([&] {
+        for (const char *node : {"node-a", "node-b"}) {
+            if (hasLogged(fleet, node, "event=batch_opened batch=b1"))
+                owner = node;
+        }
+        return !owner.empty();
+    }));
+    constexpr std::size_t longTextBytes = 900'000;
+    REQUIRE(fleet.waitFor([&] { return partialTextBytes(fleet, "b1") > longTextBytes; }));
+    fleet.process(owner).signal(SIGTERM);
+    int status = -1;
+    REQUIRE(fleet.waitFor([&] { return fleet.process(owner).hasEnded(status); }));
+    CHECK(status == 0);
+    // It does not wait until the texts are complete.
+    CHECK(live::loggedField(fleet.process(owner).lines(), "batch_handed_over", "listed") == "0");
+    CHECK(hasLogged(fleet, owner, "event=drained handed_over=true"));
+    CHECK_FALSE(hasLogged(fleet, owner, "event=store_call_rejected"));
+}
--- a/tests/standins/row_store.cpp
+++ b/tests/standins/row_store.cpp
@@ -47,6 +47,9 @@
     return encoded;
 }
 
+constexpr std::size_t maxCallBytes = 1'000'000;
+constexpr std::size_t maxCallEntries = 100;
+
 // A versioned table service with conditional transactions, range reads and a feed of changes.
 struct RowStore
 {
@@ -58,7 +61,8 @@
     {
         const std::string path = requestPath(request);
         if (path == "/-/rows-tx")
-            return this->transact(value::parse(request.body));
+            return request.body.size() > maxCallBytes ? Reply{413, "{}", {}}
+                                                      : this->transact(value::parse(request.body));
         if (path == "/-/rows-get")
             return this->readRange(request);
         if (path == "/-/rows-feed")
@@ -88,6 +92,11 @@
 
     Reply transact(const value &transaction)
     {
+        std::size_t entries = 0;
+        for (const char *list : {"expected", "writes", "remove"})
+            entries += transaction.at(list).size();
+        if (entries > maxCallEntries)
+            return {413, "{}", {}};
         bool conditionsHold = true;
         std::vector<value> encodedRows;
         for (const value &condition : transaction.at("expected").as_array()) {
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -45,6 +45,7 @@
     bool statesLeaving = false; // Answers state that the worker leaves.
     std::string software; // Ends the data of each event; empty for none.
     std::uint64_t fixedEventCount = 0; // The length of all texts; 0 for one that follows the id.
+    std::size_t eventBytes = 0; // Bytes that are added to the data of each event.
     std::vector<value> executedRequestIds;
 
     Reply serve(const ServerRequest &request)
@@ -80,6 +81,8 @@
             this->software = settings.at("software").as_string();
         if (settings.has_field("events"))
             this->fixedEventCount = settings.at("events").as_number().to_uint64();
+        if (settings.has_field("event_bytes"))
+            this->eventBytes = settings.at("event_bytes").as_number().to_uint64();
         return {};
     }
 
@@ -144,8 +147,9 @@
             reply.nextPart = nullptr;
             return;
         }
-        reply.body = fmt::format("id: {}\ndata: {}:{}{}\n\n", eventId, item, eventId,
-                                 this->software.empty() ? "" : ":" + this->software);
+        reply.body = fmt::format("id: {}\ndata: {}:{}{}{}\n\n", eventId, item, eventId,
+                                 this->software.empty() ? "" : ":" + this->software,
+                                 std::string(this->eventBytes, '.'));
         reply.delay = timePerEvent;
         reply.nextPart = [this, item, eventId] {
             Reply next;
