Failed reads of one node are no outage in which rows of targets lapse

Cause: one failed read within 2.2 s before a row was missed counted as an outage, and the target stayed for 2.2 s from the read that missed it. The log of the first case: the node read the targets through its peers all the while, one direct try a second failed, and the request came 2.1 s after the removal. Ruled out: late reads and an old directory of the call duty, which would show no floor of 2.2 s.

Change: rows may have lapsed only if no read of the targets succeeded for 1.5 s, directly or through peers, and the retention runs from the first read behind that.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -178,7 +178,11 @@
     /// How long a heartbeat that the store has accepted proves this node's ownership: less than the
     /// heartbeat timeout, after which other nodes take over.
     Duration ownershipValidity = std::chrono::milliseconds(1400);
-    /// How long targets whose rows lapsed in an outage of the store are kept: live targets have
+    /// How long the targets have to be unreadable, directly and through other nodes, to suspect an
+    /// outage of the store in which rows lapse: longer than one read that times out, and shorter
+    /// than the silence after which the row of a live target is removed.
+    Duration minLapseOutage = std::chrono::milliseconds(1500);
+    /// How long after the end of such an outage targets without a row are kept: live targets have
     /// written their rows again by then.
     Duration lapsedTargetRetention = std::chrono::milliseconds(2200);
     /// How long after a failed read of the targets it is kept which removed targets were leaving.
@@ -194,7 +198,7 @@
 struct KnownTarget
 {
     std::shared_ptr<const FleetTarget> target;
-    std::optional<Time> missingSince; ///< When its row was first found missing in the table.
+    bool isMissing = false; ///< Whether the table has no row of it.
 };
 
 struct FleetState
@@ -226,6 +230,8 @@
     std::optional<Time> leaseFreeSince;
     /// When the last failed read of the targets failed.
     std::optional<Time> targetsReadFailedAt;
+    /// When the targets were read again after an outage of the store in which rows may have lapsed.
+    std::optional<Time> lapseOutageEndedAt;
     std::optional<Duration> storeClockOffset;
     bool heartbeatInFlight = false; ///< Whether a write of a heartbeat is in flight.
     bool leaseWriteInFlight = false;
--- a/packages/core/include/geraniumpulley/core/fleet/table_follower.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/table_follower.hpp
@@ -39,6 +39,9 @@
     /// The factor by which the delays between reads are multiplied; see `periodFactorFor`.
     double periodFactor = 1;
     std::uint32_t failures = 0; ///< The number of consecutive failed reads.
+    Time readStartedAt{}; ///< When the last read was started.
+    /// When the first of the consecutive failed reads was started.
+    std::optional<Time> failingSince;
 };
 
 struct ReadFullTable
@@ -64,7 +67,8 @@
 std::optional<Time> dueAt(const TableFollower &follower);
 
 /// Records a completed read of everything up to a version.
-void recordReadCompleted(TableFollower &follower, bool wasFull, RowVersion upTo, Time now);
+/// \return how long reads had been failing.
+Duration recordReadCompleted(TableFollower &follower, bool wasFull, RowVersion upTo, Time now);
 
 /// Records a failed read.
 /// \param historyGone whether the store no longer keeps the changes that were requested.
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -59,9 +59,13 @@
 
     void operator()(const TableReadCompleted &event)
     {
-        recordReadCompleted(this->follower(event.table), event.isFull, event.upTo, this->now);
-        if (event.table == FleetTable::Targets)
+        const Duration failedFor = recordReadCompleted(this->follower(event.table), event.isFull,
+                                                       event.upTo, this->now);
+        if (event.table == FleetTable::Targets) {
             this->state.published.targetsReadAt = this->now;
+            if (failedFor >= this->state.settings.minLapseOutage)
+                this->state.lapseOutageEndedAt = this->now;
+        }
         if (event.storeClock > Duration{})
             this->state.storeClockOffset = event.storeClock - this->now.time_since_epoch();
         applyRows(this->state, event, this->now);
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -21,18 +21,18 @@
 void applyTarget(FleetState &state, const std::shared_ptr<const FleetTarget> &target)
 {
     KnownTarget &known = state.targets[target->target.id];
-    known.missingSince.reset();
+    known.isMissing = false;
     if (known.target == target || (known.target && *known.target == *target))
         return;
     known.target = target;
     noteTargetsChanged(state);
 }
 
-void markTargetMissing(FleetState &state, const TargetId &id, Time now)
+void markTargetMissing(FleetState &state, const TargetId &id)
 {
     const auto position = state.targets.find(id);
-    if (position != state.targets.end() && !position->second.missingSince)
-        position->second.missingSince = now;
+    if (position != state.targets.end())
+        position->second.isMissing = true;
 }
 
 struct RowApplier
@@ -46,7 +46,7 @@
     void operator()(const std::monostate &)
     {
         if (this->table == FleetTable::Targets)
-            markTargetMissing(this->state, {this->row.key}, this->now);
+            markTargetMissing(this->state, {this->row.key});
         if (this->table != FleetTable::Batches)
             return;
         if (this->state.batches.erase({this->row.key}) > 0)
@@ -119,7 +119,7 @@
 };
 
 // Handles rows that are known but absent from a full read: they have been removed.
-void handleAbsentRows(FleetState &state, const TableReadCompleted &read, Time now)
+void handleAbsentRows(FleetState &state, const TableReadCompleted &read)
 {
     std::set<std::string> presentKeys;
     for (const FleetRow &row : read.rows)
@@ -127,7 +127,7 @@
     if (read.table == FleetTable::Targets) {
         for (const auto &[id, known] : state.targets) {
             if (presentKeys.count(id.value) == 0)
-                markTargetMissing(state, id, now);
+                markTargetMissing(state, id);
         }
         if (!state.targetsKnown)
             noteTargetsChanged(state);
@@ -151,7 +151,7 @@
 void applyRows(FleetState &state, const TableReadCompleted &read, Time now)
 {
     if (read.isFull)
-        handleAbsentRows(state, read, now);
+        handleAbsentRows(state, read);
     for (const FleetRow &row : read.rows)
         std::visit(RowApplier{state, row, read.table, now}, row.record);
 }
@@ -163,15 +163,13 @@
         || now - *state.targetsReadFailedAt > state.settings.leavingTargetRetention)
         std::erase_if(state.leavingTargets,
                       [&](const auto &entry) { return state.targets.count(entry.first) == 0; });
-    const std::size_t removed = std::erase_if(state.targets, [&](const auto &entry) {
-        const std::optional<Time> &missingSince = entry.second.missingSince;
-        if (!missingSince)
-            return false;
-        const bool isOutageSuspected = state.targetsReadFailedAt
-                                       && *missingSince - *state.targetsReadFailedAt
-                                                  < state.settings.lapsedTargetRetention;
-        return !isOutageSuspected || now - *missingSince >= state.settings.lapsedTargetRetention;
-    });
+    // The retention counts from the end of the outage, whenever the row is missed. Where other
+    // nodes read the targets meanwhile, this node does too, through them, and there was no outage.
+    if (state.lapseOutageEndedAt
+        && now < *state.lapseOutageEndedAt + state.settings.lapsedTargetRetention)
+        return;
+    const std::size_t removed =
+            std::erase_if(state.targets, [](const auto &entry) { return entry.second.isMissing; });
     if (removed > 0)
         noteTargetsChanged(state);
 }
--- a/packages/core/src/fleet/table_follower.cpp
+++ b/packages/core/src/fleet/table_follower.cpp
@@ -3,6 +3,7 @@
 #include <geraniumpulley/core/backoff.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace geraniumpulley::core {
 namespace {
@@ -37,6 +38,7 @@
     if (follower.readInFlight || now < follower.nextReadAt)
         return std::nullopt;
     follower.readInFlight = true;
+    follower.readStartedAt = now;
     if (isFullReadDue(follower, now))
         return ReadFullTable{};
     return ReadTableChanges{follower.upTo, follower.settings.pollTimeout};
@@ -49,18 +51,21 @@
     return follower.nextReadAt;
 }
 
-void recordReadCompleted(TableFollower &follower, bool wasFull, RowVersion upTo, Time now)
+Duration recordReadCompleted(TableFollower &follower, bool wasFull, RowVersion upTo, Time now)
 {
+    const Duration failedFor =
+            follower.failingSince ? now - *std::exchange(follower.failingSince, {}) : Duration{};
     follower.readInFlight = false;
     follower.upTo = std::max(follower.upTo, upTo);
     const FollowerSettings &settings = follower.settings;
     follower.nextReadAt = now + extended(follower, settings.readDelay, settings.maxReadDelay);
     follower.failures = 0;
     if (!wasFull)
-        return;
+        return failedFor;
     follower.fullReadPending = false;
     follower.nextFullReadAt =
             now + extended(follower, settings.fullReadPeriod, settings.maxFullReadPeriod);
+    return failedFor;
 }
 
 // A table that is never read in full continues from the newest version of the store, which the read
@@ -68,6 +73,9 @@
 void recordFailure(TableFollower &follower, bool historyGone, Time now)
 {
     follower.readInFlight = false;
+    // The store answers that it has dropped its history, so it serves.
+    if (!historyGone && !follower.failingSince)
+        follower.failingSince = follower.readStartedAt;
     const FollowerSettings &settings = follower.settings;
     follower.nextReadAt =
             now + backoffDelay(settings.retryDelay, settings.maxRetryDelay, follower.failures++);
