Limit the bytes of all incomplete responses of a client together

Report of operators: a faulty worker sends bytes without end, the machine that called it keeps them all and runs out of memory, and the requests of other clients end with it.

Cause: one response was limited (64 KB of head, 8 MB of body), their sum was not. Ruled out: a smaller limit for one response (targets may answer with 8 MB, and heads alone add up too).

Change: HttpClient reads every response in steps and counts what incomplete ones hold. Beyond 24 MB it gives the largest one up as lost, so that a server which sends without end does not take the others with it. oversized_responses counts them, attempt_failed says so.

--- a/packages/entry/src/attempt_relay.hpp
+++ b/packages/entry/src/attempt_relay.hpp
@@ -44,7 +44,8 @@
     /// Cancels a request of another node.
     void serveCancel(const net::PeerMessage &message);
 
-    /// From now on refuses requests of other nodes whose answers may come later than `answersDueAt`.
+    /// From now on refuses requests of other nodes whose answers may come later than
+    /// `answersDueAt`.
     void drain(core::Time answersDueAt);
 
     /// Waits until no request of another node is in flight.
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -129,7 +129,8 @@
                 field("target", attempt.target.id.value), field("status", result.status),
                 field("failure", static_cast<int>(result.failure)),
                 field("closed_by_target", result.closedByServer),
-                field("relayed", attempt.isRelayed), field("after_ms", elapsed.count() / 1000));
+                field("oversized", result.exceedsMemory), field("relayed", attempt.isRelayed),
+                field("after_ms", elapsed.count() / 1000));
     }
 
     static core::EntryEvent toEvent(core::OperationId operation, net::HttpResult &&result)
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -141,6 +141,10 @@
     text += fmt::format("log_lines_dropped {}\n", parts.logger.droppedLines());
     text += fmt::format("target_connections_opened {}\n", parts.targetClient->connectionsOpened());
     text += fmt::format("engine_connections_opened {}\n", parts.engineClient->connectionsOpened());
+    text += fmt::format("oversized_responses {}\n",
+                        parts.targetClient->oversizedResponseCount()
+                                + parts.engineClient->oversizedResponseCount()
+                                + parts.storeClient->oversizedResponseCount());
     text += fmt::format("peer_bytes {}\n", parts.peerLink->trafficBytes());
     text += fmt::format("misplaced_responses {}\n", parts.callerServer->misplacedResponseCount());
     return answerStatus(*parts.metricsServer, request.token, core::status::ok, std::move(text));
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -36,6 +36,8 @@
     bool isDeliveredInParts = false; ///< The body was passed to `HttpRequest::onBodyPart`.
     /// The server closed or reset the connection before its response was complete.
     bool closedByServer = false;
+    /// The response was given up because it, or all responses together, took too much memory.
+    bool exceedsMemory = false;
 };
 
 /// The status and headers of a response whose body is delivered in parts.
@@ -104,6 +106,9 @@
     std::string name = "targets"; ///< Name of the thread.
     std::size_t ringCapacity = 4096;
     std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    /// Limit on the bytes of all responses that are not complete. Beyond it, the response that
+    /// takes most is given up as `AnswerLost`.
+    std::size_t maxBufferedBytes = 24 * 1024 * 1024;
     /// How long a pooled connection is reused when its server sends no Keep-Alive timeout.
     core::Duration idleTimeout = std::chrono::seconds(2);
     /// How long sent bytes may stay unacknowledged before the connection fails (TCP_USER_TIMEOUT).
@@ -138,6 +143,9 @@
     /// on the calling thread with `TimedOut`.
     void probe(ConnectProbe &&probe);
 
+    /// \return the number of responses that were given up because of their size.
+    [[nodiscard]] std::uint64_t oversizedResponseCount() const;
+
     /// \return the number of connections opened so far.
     [[nodiscard]] std::uint64_t connectionsOpened() const;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -16,6 +16,7 @@
 #include <charconv>
 #include <limits>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -80,9 +81,14 @@
     ~Implementation() { this->loop.stop(); }
 
     void handle(Command &&command);
+    void limitBufferedBytes();
 
     HttpClientSettings settings;
     std::atomic<std::uint64_t> openedConnections = 0;
+    std::atomic<std::uint64_t> oversizedResponses = 0;
+    // Used on the loop's thread only, and by the exchanges that are destroyed with the loop.
+    std::set<Exchange *> bufferingExchanges; // Those that hold bytes of an incomplete response.
+    std::size_t bufferedBytes = 0; // Held by them together.
     detail::EventLoop<Command> loop;
     ConnectionPool pool; // This and the member below are used on the loop's thread only.
     std::unordered_map<std::uint64_t, std::weak_ptr<Exchange>> cancellableExchanges;
@@ -98,6 +104,11 @@
         this->resetParser();
     }
 
+    ~Exchange() { this->setBufferedBytes(0); }
+
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
     void start()
     {
         if (this->request.reuseConnection)
@@ -126,6 +137,15 @@
         this->fail(this->writeStarted ? SendFailure::AnswerLost : SendFailure::NotSent);
     }
 
+    [[nodiscard]] std::size_t heldBytes() const { return this->bufferedBytes; }
+
+    void giveUpOversized()
+    {
+        ++this->client.oversizedResponses;
+        this->exceedsMemory = true;
+        this->fail(SendFailure::AnswerLost);
+    }
+
 private:
     void resetParser()
     {
@@ -202,17 +222,6 @@
     }
 
     void readResponse()
-    {
-        if (this->request.onBodyPart)
-            return this->readPart();
-        http::async_read(
-                this->connection->stream, this->connection->buffer, *this->parser,
-                [self = this->shared_from_this()](beast::error_code readError, std::size_t) {
-                    self->onRead(readError);
-                });
-    }
-
-    void readPart()
     {
         http::async_read_some(
                 this->connection->stream, this->connection->buffer, *this->parser,
@@ -221,27 +230,43 @@
                 });
     }
 
-    // Other bodies than those delivered in parts are short messages, which are buffered up to a
-    // limit.
+    // Of a request that takes its response in parts, bodies of another type are short messages.
     void onPartRead(beast::error_code error)
     {
         if (this->completed)
             return;
+        if (error == http::error::body_limit || error == http::error::header_limit)
+            return this->giveUpOversized();
         const bool deliversBody = this->isDeliveredInParts();
         const bool isMatching = this->isMatchingResponse();
         std::string &body = this->parser->get().body();
         if (isMatching && deliversBody)
             this->deliverPart(body);
-        if (error || !isMatching || body.size() > maxBufferedPartBytes)
+        if (error || !isMatching)
             return this->fail(SendFailure::AnswerLost, isClosedByPeer(error));
+        if (this->request.onBodyPart && body.size() > maxBufferedPartBytes)
+            return this->giveUpOversized();
         if (this->parser->is_done())
             return this->onRead({});
-        this->readPart();
+        this->setBufferedBytes(body.size() + this->connection->buffer.size());
+        this->client.limitBufferedBytes();
+        if (!this->completed)
+            this->readResponse();
+    }
+
+    void setBufferedBytes(std::size_t bytes)
+    {
+        this->client.bufferedBytes += bytes - std::exchange(this->bufferedBytes, bytes);
+        if (bytes > 0)
+            this->client.bufferingExchanges.insert(this);
+        else
+            this->client.bufferingExchanges.erase(this);
     }
 
     bool isDeliveredInParts()
     {
-        if (!this->parser->is_header_done() || this->parser->get().result() != http::status::ok)
+        if (!this->request.onBodyPart || !this->parser->is_header_done()
+            || this->parser->get().result() != http::status::ok)
             return false;
         const std::string &type = this->request.bodyPartType;
         const auto received = this->parser->get()[http::field::content_type];
@@ -351,7 +376,15 @@
 
     void fail(SendFailure failure, bool closedByServer = false)
     {
-        this->complete({failure, 0, {}, {}, {}, true, this->headDelivered, closedByServer});
+        this->complete({failure,
+                        0,
+                        {},
+                        {},
+                        {},
+                        true,
+                        this->headDelivered,
+                        closedByServer,
+                        this->exceedsMemory});
     }
 
     // Makes closing the connection send a reset, so that an abandoned request cannot arrive later:
@@ -368,6 +401,7 @@
     void complete(HttpResult &&result)
     {
         this->completed = true;
+        this->setBufferedBytes(0);
         if (this->request.cancelKey != CancelKey{})
             this->client.cancellableExchanges.erase(
                     static_cast<std::uint64_t>(this->request.cancelKey));
@@ -386,10 +420,25 @@
     http::request<http::string_body> message;
     std::optional<http::response_parser<http::string_body>> parser;
     bool writeStarted = false;
+    std::size_t bufferedBytes = 0; // Of the response so far, not counting delivered parts.
     bool headDelivered = false;
+    bool exceedsMemory = false;
     bool completed = false;
 };
 
+// A server that sends bytes without end has the largest response, so the others go on.
+void HttpClient::Implementation::limitBufferedBytes()
+{
+    while (this->bufferedBytes > this->settings.maxBufferedBytes) {
+        const auto largest =
+                std::max_element(this->bufferingExchanges.begin(), this->bufferingExchanges.end(),
+                                 [](const Exchange *a, const Exchange *b) {
+                                     return a->heldBytes() < b->heldBytes();
+                                 });
+        (*largest)->giveUpOversized();
+    }
+}
+
 void HttpClient::Implementation::handle(Command &&command)
 {
     if (const auto *cancelCommand = std::get_if<CancelCommand>(&command)) {
@@ -450,6 +499,11 @@
                 ConnectOutcome::TimedOut);
 }
 
+std::uint64_t HttpClient::oversizedResponseCount() const
+{
+    return this->implementation->oversizedResponses;
+}
+
 std::uint64_t HttpClient::connectionsOpened() const
 {
     return this->implementation->openedConnections;
--- a/packages/net/tests/unit-endless_responses.cpp
+++ b/packages/net/tests/unit-endless_responses.cpp
@@ -10,6 +10,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace geraniumpulley;
 using namespace std::chrono_literals;
@@ -66,6 +67,20 @@
     return outcome;
 }
 
+// Sends a request and returns the server's side of its connection.
+Tcp::socket sendRequest(net::HttpClient &client, Tcp::acceptor &acceptor,
+                        std::promise<net::HttpResult> &result)
+{
+    net::HttpRequest request;
+    request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    request.method = "GET";
+    request.target = "/";
+    request.deadline = runtime::now() + 30s;
+    request.done = [&result](net::HttpResult &&answer) { result.set_value(std::move(answer)); };
+    client.send(std::move(request));
+    return acceptor.accept();
+}
+
 } // namespace
 
 TEST_CASE("a response whose head does not end is given up at the limit of heads")
@@ -82,3 +97,57 @@
     CHECK(outcome.result.failure == net::SendFailure::AnswerLost);
     CHECK(outcome.written < maxSocketBytes + net::HttpClientSettings{}.maxBodyBytes);
 }
+
+// Guards against a node that runs out of memory because many requests meet a server that sends
+// bytes without end.
+TEST_CASE("endless responses to many requests are given up before they take too much together")
+{
+    constexpr std::size_t requestCount = 24;
+    constexpr std::size_t sentBytes = megabyte / 2;
+    net::HttpClientSettings settings;
+    settings.maxBufferedBytes = 4 * megabyte;
+    constexpr std::size_t minGivenUp = requestCount - 4 * megabyte / sentBytes;
+    std::vector<std::promise<net::HttpResult>> results(requestCount);
+    auto client = std::move(net::HttpClient::create(settings).value());
+    boost::asio::io_context io;
+    Tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<Tcp::socket> sockets;
+    const std::string beginning = "HTTP/1.1 200 OK\r\n\r\n" + std::string(sentBytes, 'x');
+    for (auto &result : results) {
+        sockets.push_back(sendRequest(*client, acceptor, result));
+        boost::system::error_code error;
+        boost::asio::write(sockets.back(), boost::asio::buffer(beginning), error);
+    }
+    const auto giveUpAt = std::chrono::steady_clock::now() + 30s;
+    while (client->oversizedResponseCount() < minGivenUp
+           && std::chrono::steady_clock::now() < giveUpAt)
+        std::this_thread::sleep_for(1ms);
+    CHECK(client->oversizedResponseCount() >= minGivenUp);
+}
+
+TEST_CASE("when responses take too much together, the largest one is given up and the others are "
+          "whole")
+{
+    net::HttpClientSettings settings;
+    settings.maxBufferedBytes = 2 * megabyte;
+    std::promise<net::HttpResult> soundResult;
+    std::promise<net::HttpResult> endlessResult;
+    auto client = std::move(net::HttpClient::create(settings).value());
+    boost::asio::io_context io;
+    Tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    Tcp::socket sound = sendRequest(*client, acceptor, soundResult);
+    const std::string body(megabyte, 'y');
+    boost::asio::write(sound, boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: "
+                                                  + std::to_string(body.size()) + "\r\n\r\n"));
+    boost::asio::write(sound, boost::asio::buffer(body.substr(0, body.size() / 2)));
+    Tcp::socket endless = sendRequest(*client, acceptor, endlessResult);
+    boost::system::error_code error;
+    boost::asio::write(endless, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")), error);
+    while (!error)
+        boost::asio::write(endless, boost::asio::buffer(body), error);
+    CHECK(endlessResult.get_future().get().exceedsMemory);
+    boost::asio::write(sound, boost::asio::buffer(body.substr(body.size() / 2)));
+    const net::HttpResult whole = soundResult.get_future().get();
+    CHECK(whole.failure == net::SendFailure::None);
+    CHECK(whole.body == body);
+}
--- a/tests/live/child_process.hpp
+++ b/tests/live/child_process.hpp
@@ -36,6 +36,7 @@
     ChildProcess &operator=(const ChildProcess &) = delete;
 
     void signal(int signalNumber) const;
+    [[nodiscard]] pid_t id() const { return this->pid; }
     /// \return whether the process has ended; `status` is then its exit status, or 128 plus the
     /// number of the signal that terminated it.
     bool hasEnded(int &status);
--- a/tests/live/fleet.cpp
+++ b/tests/live/fleet.cpp
@@ -51,8 +51,7 @@
             request.set_body(body, "application/json");
         web::http::http_response response = client.request(request).get();
         return {response.status_code(), findHeader(response, "X-Outcome"),
-                findHeader(response, "Retry-After"),
-                response.extract_utf8string(true).get()};
+                findHeader(response, "Retry-After"), response.extract_utf8string(true).get()};
     } catch (const std::exception &) {
         return {};
     }
