Late answers of the store do not set its clock back

Cause: the offset to the store's clock was renewed by each read when it was handled. An answer that had waited in the socket during the freeze made it too small, and with it the time of submission in the batch's head. Ruled out: the owner's own deadline, which follows the head.

Change: StoreClock keeps the largest offset of the last 10 s to 20 s, since waiting can only make one smaller.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -5,6 +5,7 @@
 #include <geraniumpulley/core/fleet/assignment_cache.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
+#include <geraniumpulley/core/fleet/store_clock.hpp>
 #include <geraniumpulley/core/fleet/table_follower.hpp>
 #include <geraniumpulley/core/fleet/weight_orders.hpp>
 #include <geraniumpulley/core/row_version.hpp>
@@ -232,7 +233,7 @@
     std::optional<Time> targetsReadFailedAt;
     /// When the targets were read again after an outage of the store in which rows may have lapsed.
     std::optional<Time> lapseOutageEndedAt;
-    std::optional<Duration> storeClockOffset;
+    StoreClock storeClock;
     bool heartbeatInFlight = false; ///< Whether a write of a heartbeat is in flight.
     bool leaseWriteInFlight = false;
     bool leaseReleaseInFlight = false; ///< Whether the last write of the lease releases it.
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -67,7 +67,7 @@
                 this->state.lapseOutageEndedAt = this->now;
         }
         if (event.storeClock > Duration{})
-            this->state.storeClockOffset = event.storeClock - this->now.time_since_epoch();
+            recordStoreTime(this->state.storeClock, event.storeClock, this->now);
         applyRows(this->state, event, this->now);
     }
 
@@ -302,7 +302,7 @@
             this->updateReadPeriods();
         next.reachesTargets = state.reachesTargets;
         next.ownershipValidUntil = state.ownershipValidUntil;
-        next.storeClockOffset = state.storeClockOffset;
+        next.storeClockOffset = offsetOf(state.storeClock);
         this->actions.emplace_back(
                 PublishDirectory{std::make_shared<Directory>(next), state.contentChanged});
         state.contentChanged = false;
