--- a/packages/codec/tests/unit-wire_compatibility.cpp
+++ b/packages/codec/tests/unit-wire_compatibility.cpp
@@ -113,8 +113,8 @@
     const std::map<std::string, std::string> messages = encodeMessages();
     const std::map<std::string, std::string> expected = messagesOfProduction();
     REQUIRE(messages.size() == expected.size());
-    for (const auto &[name, bytes] : messages) {
-        CAPTURE(name);
-        CHECK(toHex(bytes) == expected.at(name));
+    for (const auto &message : messages) {
+        CAPTURE(message.first);
+        CHECK(toHex(message.second) == expected.at(message.first));
     }
 }
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -112,7 +112,7 @@
 // Without a port the node serves no metrics.
 std::string readMetricsAddress(JsonReader &reader)
 {
-    const std::string address = reader.readString("metrics", "");
+    std::string address = reader.readString("metrics", "");
     if (address.empty() || address.ends_with(':'))
         return {};
     if (!net::detail::parseAddress(address))
--- a/packages/entry/tests/unit-settings.cpp
+++ b/packages/entry/tests/unit-settings.cpp
@@ -110,11 +110,11 @@
 {
     const std::map<std::string, core::Duration> stopTimeouts{
             {"8", 8s}, {"7.5", 7500ms}, {"0.25", 250ms}, {"8.0", 8s}, {"12.125", 12125ms}};
-    for (const auto &[seconds, expected] : stopTimeouts) {
-        CAPTURE(seconds);
-        const entry::ParsedSettings parsed = parseTemplate("bounds.grace_s", seconds);
+    for (const auto &timeout : stopTimeouts) {
+        CAPTURE(timeout.first);
+        const entry::ParsedSettings parsed = parseTemplate("bounds.grace_s", timeout.first);
         REQUIRE(parsed.problems.empty());
-        CHECK(parsed.settings.stopTimeout == expected);
+        CHECK(parsed.settings.stopTimeout == timeout.second);
     }
     CHECK(parseTemplate("bounds.lease_ms", "2500.5").settings.leaseDuration == 2500500us);
     CHECK(parseTemplate("limits.cores", "2").settings.capacityMillicores == 1000);
@@ -141,15 +141,16 @@
     const std::map<std::string, std::string> places{{"bounds.grace_s", "/stop_limit_ms"},
                                                     {"bounds.lease_ms", "/lease_time_ms"},
                                                     {"limits.cpu_share", "/core_share"}};
-    for (const auto &[name, place] : places) {
+    for (const auto &place : places) {
         for (const char *value : {"true", "-1", "1e9"}) {
-            CAPTURE(name);
+            CAPTURE(place.first);
             CAPTURE(value);
-            const entry::ParsedSettings parsed = parseTemplate(name, value);
+            const entry::ParsedSettings parsed = parseTemplate(place.first, value);
             REQUIRE(parsed.problems.size() == 1);
+            // Digits behind "true" are no JSON, so that there is no key to name.
             const bool isSyntaxError = parsed.problems.front().place.empty();
             if (!isSyntaxError)
-                CHECK(parsed.problems.front().place == place);
+                CHECK(parsed.problems.front().place == place.second);
             CHECK_FALSE(parsed.problems.front().allowed.empty());
         }
     }
@@ -177,9 +178,9 @@
             "interface",     "node",       "data_centre", "callers", "readiness",
             "peers",         "metrics",    "store",       "seeds",   "stop_limit_ms",
             "lease_time_ms", "core_share", "core_speed"};
-    for (const auto &[key, value] : settings.as_object()) {
-        CAPTURE(key);
-        CHECK(knownKeys.count(key) == 1);
+    for (const auto &field : settings.as_object()) {
+        CAPTURE(field.first);
+        CHECK(knownKeys.count(field.first) == 1);
     }
     CHECK(settings.at("stop_limit_ms").as_number().is_uint64());
     CHECK(settings.at("stop_limit_ms").as_number().to_uint64() == 8000);
--- a/tests/live/unit-live_endless_answers.cpp
+++ b/tests/live/unit-live_endless_answers.cpp
@@ -122,9 +122,9 @@
             {head + "\r\n", std::string(64 * 1024, 'x')},
             {head, "X-Filler: " + std::string(8000, 'x') + "\r\n"},
             {head + "Content-Length: 900000000\r\n\r\n", std::string(64 * 1024, 'x')}};
-    for (const auto &[beginning, repeated] : answers) {
-        CAPTURE(beginning);
-        const EndlessWorker endless(beginning, repeated);
+    for (const auto &answer : answers) {
+        CAPTURE(answer.first);
+        const EndlessWorker endless(answer.first, answer.second);
         live::PlatformFleet fleet;
         REQUIRE(fleet.writeRow("op", "config", makeRoutingTable()));
         REQUIRE(fleet.writeRow(
