--- a/packages/core/tests/fleet/unit-store_clock.cpp
+++ b/packages/core/tests/fleet/unit-store_clock.cpp
@@ -19,8 +19,8 @@
     CHECK(*offsetOf(clock) == 50s);
 }
 
-// Guards against submissions that a node accepts as it wakes from a freeze and dates back by it, so that
-// their items are given up early.
+// Guards against submissions that a node accepts as it wakes from a freeze and dates back by it, so
+// that their items are given up early.
 TEST_CASE("an answer that waited while the process was frozen does not change the store's clock")
 {
     for (const Duration frozenFor : {Duration(4s), Duration(60s)}) {
