--- a/packages/net/tests/unit-endless_responses.cpp
+++ b/packages/net/tests/unit-endless_responses.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -69,14 +71,14 @@
 
 // Sends a request and returns the server's side of its connection.
 Tcp::socket sendRequest(net::HttpClient &client, Tcp::acceptor &acceptor,
-                        std::promise<net::HttpResult> &result)
+                        std::function<void(net::HttpResult &&)> done)
 {
     net::HttpRequest request;
     request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     request.method = "GET";
     request.target = "/";
     request.deadline = runtime::now() + 30s;
-    request.done = [&result](net::HttpResult &&answer) { result.set_value(std::move(answer)); };
+    request.done = std::move(done);
     client.send(std::move(request));
     return acceptor.accept();
 }
@@ -107,22 +109,24 @@
     net::HttpClientSettings settings;
     settings.maxBufferedBytes = 4 * megabyte;
     constexpr std::size_t minGivenUp = requestCount - 4 * megabyte / sentBytes;
-    std::vector<std::promise<net::HttpResult>> results(requestCount);
+    std::atomic<std::size_t> givenUp = 0;
     auto client = std::move(net::HttpClient::create(settings).value());
     boost::asio::io_context io;
     Tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
     std::vector<Tcp::socket> sockets;
     const std::string beginning = "HTTP/1.1 200 OK\r\n\r\n" + std::string(sentBytes, 'x');
-    for (auto &result : results) {
-        sockets.push_back(sendRequest(*client, acceptor, result));
+    for (std::size_t i = 0; i < requestCount; ++i) {
+        sockets.push_back(sendRequest(*client, acceptor, [&](net::HttpResult &&result) {
+            givenUp += result.exceedsMemory ? 1 : 0;
+            givenUp.notify_one();
+        }));
         boost::system::error_code error;
         boost::asio::write(sockets.back(), boost::asio::buffer(beginning), error);
     }
-    const auto giveUpAt = std::chrono::steady_clock::now() + 30s;
-    while (client->oversizedResponseCount() < minGivenUp
-           && std::chrono::steady_clock::now() < giveUpAt)
-        std::this_thread::sleep_for(1ms);
+    for (std::size_t count = givenUp; count < minGivenUp; count = givenUp)
+        givenUp.wait(count);
     CHECK(client->oversizedResponseCount() >= minGivenUp);
+    client->stop();
 }
 
 TEST_CASE("when responses take too much together, the largest one is given up and the others are "
@@ -132,15 +136,18 @@
     settings.maxBufferedBytes = 2 * megabyte;
     std::promise<net::HttpResult> soundResult;
     std::promise<net::HttpResult> endlessResult;
+    const auto setter = [](std::promise<net::HttpResult> &promise) {
+        return [&promise](net::HttpResult &&result) { promise.set_value(std::move(result)); };
+    };
     auto client = std::move(net::HttpClient::create(settings).value());
     boost::asio::io_context io;
     Tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    Tcp::socket sound = sendRequest(*client, acceptor, soundResult);
+    Tcp::socket sound = sendRequest(*client, acceptor, setter(soundResult));
     const std::string body(megabyte, 'y');
     boost::asio::write(sound, boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: "
                                                   + std::to_string(body.size()) + "\r\n\r\n"));
     boost::asio::write(sound, boost::asio::buffer(body.substr(0, body.size() / 2)));
-    Tcp::socket endless = sendRequest(*client, acceptor, endlessResult);
+    Tcp::socket endless = sendRequest(*client, acceptor, setter(endlessResult));
     boost::system::error_code error;
     boost::asio::write(endless, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")), error);
     while (!error)
