--- a/tests/live/unit-live_endless_answers.cpp
+++ b/tests/live/unit-live_endless_answers.cpp
@@ -137,6 +137,7 @@
         REQUIRE(fleet.waitUntilReady());
 
         std::vector<std::thread> clients;
+        clients.reserve(endlessCalls);
         std::atomic<int> served = 0;
         for (int i = 0; i < endlessCalls; ++i) {
             clients.emplace_back([&fleet, &served, i] {
