--- a/tests/live/unit-live_planned_stop.cpp
+++ b/tests/live/unit-live_planned_stop.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <string>
 
 namespace {
 
@@ -25,19 +27,56 @@
             .body.size();
 }
 
-} // namespace
+// The time between SIGTERM and the kill of a node, as its settings state it.
+constexpr auto stopLimit = std::chrono::seconds(8);
 
-// Guards against streams and requests that may not be repeated, which a stopping node passed on
-// late and cut at its exit.
-TEST_CASE("on the platform a node in a planned stop takes only requests that it can finish")
+// Submits a batch whose texts take 5.5 s, and returns the node that owns it.
+std::string submitLongBatch(live::PlatformFleet &fleet)
+{
+    fleet.configureWorker("engine-1", R"({"events": 550, "event_bytes": 1000})");
+    REQUIRE(fleet.waitFor([&] {
+        return fleet.call("node-a", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status
+               == 202;
+    }));
+    std::string owner;
+    REQUIRE(fleet.waitFor([&] {
+        for (const char *node : {"node-a", "node-b"}) {
+            if (hasLogged(fleet, node, "event=batch_opened batch=b1"))
+                owner = node;
+        }
+        return !owner.empty();
+    }));
+    return owner;
+}
+
+void startTwoNodes(live::PlatformFleet &fleet)
 {
-    live::PlatformFleet fleet;
     REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
     fleet.startWorker("orders-1", "orders", "");
     fleet.startWorker("engine-1", "engines", "m");
     fleet.startNode("node-a");
     fleet.startNode("node-b");
     REQUIRE(fleet.waitUntilReady());
+}
+
+// Waits for the end of a node and returns how long it took.
+std::chrono::steady_clock::duration waitForEnd(live::PlatformFleet &fleet, const std::string &node)
+{
+    const auto start = std::chrono::steady_clock::now();
+    int status = -1;
+    REQUIRE(fleet.waitFor([&] { return fleet.process(node).hasEnded(status); }));
+    CHECK(status == 0);
+    return std::chrono::steady_clock::now() - start;
+}
+
+} // namespace
+
+// Guards against streams and requests that may not be repeated, which a stopping node passed on
+// late and cut at its exit.
+TEST_CASE("on the platform a node in a planned stop takes only requests that it can finish")
+{
+    live::PlatformFleet fleet;
+    startTwoNodes(fleet);
     const std::string longLimit = "12000";
     const std::string shortLimit = "1500";
     REQUIRE(fleet.call("node-a", "POST", "/chat/1", "before", "x", {{"X-Deadline-Ms", longLimit}})
@@ -60,9 +99,7 @@
                       .status
               == 200);
     }
-    int status = -1;
-    REQUIRE(fleet.waitFor([&] { return fleet.process("node-a").hasEnded(status); }));
-    CHECK(status == 0);
+    waitForEnd(fleet, "node-a");
 }
 
 // Guards against a hand-over that exceeds the store's limit on a transaction: it was rejected until
@@ -70,34 +107,55 @@
 TEST_CASE("on the platform a node in a planned stop hands over texts of any length")
 {
     live::PlatformFleet fleet;
-    REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
-    fleet.startWorker("orders-1", "orders", "");
-    fleet.startWorker("engine-1", "engines", "m");
-    // A text takes 5.5 s; after 2 s or 3 s the six of them exceed a transaction of 1 MB.
-    fleet.configureWorker("engine-1", R"({"events": 550, "event_bytes": 1000})");
-    fleet.startNode("node-a");
-    fleet.startNode("node-b");
-    REQUIRE(fleet.waitUntilReady());
-    REQUIRE(fleet.waitFor([&] {
-        return fleet.call("node-a", "POST", "/samples/b1", "b1", live::makeBatch("b1")).status
-               == 202;
-    }));
-    std::string owner;
-    REQUIRE(fleet.waitFor([&] {
-        for (const char *node : {"node-a", "node-b"}) {
-            if (hasLogged(fleet, node, "event=batch_opened batch=b1"))
-                owner = node;
-        }
-        return !owner.empty();
-    }));
+    startTwoNodes(fleet);
+    const std::string owner = submitLongBatch(fleet);
+    // After 2 s or 3 s the six texts exceed a transaction of 1 MB.
     constexpr std::size_t longTextBytes = 900'000;
     REQUIRE(fleet.waitFor([&] { return partialTextBytes(fleet, "b1") > longTextBytes; }));
     fleet.process(owner).signal(SIGTERM);
-    int status = -1;
-    REQUIRE(fleet.waitFor([&] { return fleet.process(owner).hasEnded(status); }));
-    CHECK(status == 0);
+    waitForEnd(fleet, owner);
     // It does not wait until the texts are complete.
     CHECK(live::loggedField(fleet.process(owner).lines(), "batch_handed_over", "listed") == "0");
     CHECK(hasLogged(fleet, owner, "event=drained handed_over=true"));
     CHECK_FALSE(hasLogged(fleet, owner, "event=store_call_rejected"));
 }
+
+// Guards against a stop that waits for the store and leaves no time for answers.
+TEST_CASE("on the platform a node in a planned stop answers requests while the store is away")
+{
+    live::PlatformFleet fleet;
+    startTwoNodes(fleet);
+    const std::string owner = submitLongBatch(fleet);
+    const std::string other = owner == "node-a" ? "node-b" : "node-a";
+    fleet.process("store").signal(SIGSTOP);
+    fleet.process(owner).signal(SIGTERM);
+    REQUIRE(fleet.waitFor([&] { return hasLogged(fleet, owner, "event=draining"); }));
+    for (const char *path : {"/lookup/1", "/book/1"}) {
+        CAPTURE(path);
+        CHECK(fleet.call(owner, "POST", path, "short", "x", {{"X-Deadline-Ms", "1500"}}).status
+              == 200);
+    }
+    CHECK(waitForEnd(fleet, owner) < stopLimit);
+    CHECK(hasLogged(fleet, owner, "event=drained handed_over=false written=true"));
+    fleet.process("store").signal(SIGCONT);
+    // The other node takes the batch over once the store shows that its owner is gone.
+    CHECK(fleet.waitFor([&] { return hasLogged(fleet, other, "batch=b1 fence="); }));
+}
+
+// Guards against a stop whose steps begin anew after a freeze and outlast the limit.
+TEST_CASE("on the platform a node that is frozen in its planned stop exits within the limit")
+{
+    live::PlatformFleet fleet;
+    startTwoNodes(fleet);
+    const std::string owner = submitLongBatch(fleet);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fleet.process(owner).signal(SIGTERM);
+    REQUIRE(fleet.waitFor([&] { return hasLogged(fleet, owner, "event=draining"); }));
+    constexpr auto freeze = std::chrono::seconds(4);
+    const auto frozenAt = std::chrono::steady_clock::now();
+    fleet.process(owner).signal(SIGSTOP);
+    REQUIRE(fleet.waitFor([&] { return std::chrono::steady_clock::now() - frozenAt > freeze; }));
+    fleet.process(owner).signal(SIGCONT);
+    waitForEnd(fleet, owner);
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < stopLimit);
+}
