Callers' connections: chunk extensions and trailers are limited as headers

Cause: the buffer of each connection may grow to the limit of header and body together, and the parser takes trailers and chunk extensions only when they are complete. With bodies of 8 MB allowed, 24 connections with trailers without end took 167 MB, with chunk extensions without end 175 MB; the smallest machine has 120 MB. Ruled out: heads (limited by the parser, 11 MB) and bodies (limited in sum, 77 MB).

Change: a connection buffers at most one read of a body and what a header may take. Beyond it the request is refused with 431 and the connection closed; a request that is read no further has not run. Responses that clients do not read are limited in sum (24 MB); the connection that holds most is closed. Both are counted.

Tests start a node with 24 clients; they failed before with CHECK( 167 < 120 ) (trailers) and CHECK( 175 < 120 ) (chunk extensions).

--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -62,6 +62,9 @@
     std::size_t maxBodyBytes = 1024 * 1024;
     /// Limit for the total size of the request bodies buffered on all connections.
     std::size_t maxBufferedBytes = 32 * 1024 * 1024;
+    /// Limit for the total size of the responses that clients have not read. Beyond it, the
+    /// connection that holds most of them is closed.
+    std::size_t maxUnreadBytes = 24 * 1024 * 1024;
     /// Time limit for reading the headers, and for each read of the body.
     core::Duration readTimeout = std::chrono::seconds(10);
     /// Time limit for each write of a response.
@@ -128,6 +131,10 @@
     /// \return the number of responses that did not follow the parts sent before them.
     [[nodiscard]] std::uint64_t misplacedResponseCount() const;
 
+    /// \return the number of requests that were refused, and of connections that were closed,
+    /// because of the memory that they would have taken.
+    [[nodiscard]] std::uint64_t memoryRefusalCount() const;
+
     /// Stops the thread. No callback runs after it returns, and later responses are discarded.
     void stop();
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -31,6 +31,10 @@
 // Size of the first read of a request; the rest of the header and the body use the same buffer.
 constexpr std::size_t firstReadBytes = 4096;
 
+// Room for one read of a body, behind which at most the limit of a header is buffered: chunk
+// extensions and trailers are parsed only when they are complete, and count as header.
+constexpr std::size_t bodyReadBytes = 16 * 1024;
+
 struct BeginDrain
 {
 };
@@ -70,6 +74,7 @@
     void addSession(Session &session);
     void removeSession(Session &session);
     void reportDrained();
+    void limitUnreadBytes();
     void handle(Command &&command);
     void respond(ServerResponse &&response);
 
@@ -90,6 +95,7 @@
     std::uint16_t port = 0;
     std::atomic<bool> keepAliveDisabled = false;
     std::atomic<std::uint64_t> misplacedResponses = 0;
+    std::atomic<std::uint64_t> memoryRefusals = 0;
     std::mutex mutex;
     std::condition_variable pendingChanged;
     int pendingResponses = 0; // Guarded by `mutex`.
@@ -98,6 +104,7 @@
     std::set<Session *> sessions;
     bool draining = false;
     std::size_t bufferedBytes = 0; // Of request bodies without a response yet.
+    std::size_t unreadBytes = 0; // Of responses that are not written yet.
     detail::EventLoop<Command> loop;
     Tcp::acceptor acceptor;
     core::ReplyToken nextToken{1};
@@ -111,12 +118,12 @@
     Session(Implementation &server, Tcp::socket socket) : server(server), stream(std::move(socket))
     {
         this->server.addSession(*this);
-        buffer.max_size(server.settings.maxHeaderBytes + server.settings.maxBodyBytes);
     }
 
     ~Session()
     {
         this->releasePending();
+        this->releaseUnread(this->unreadBytes);
         this->server.removeSession(*this);
     }
 
@@ -159,13 +166,18 @@
         this->keepAlive = this->keepAlive && !this->server.keepAliveDisabled;
         this->message.keep_alive(this->keepAlive);
         this->message.prepare_payload();
+        this->holdUnread(this->message.body().size());
         this->stream.expires_after(this->server.settings.writeTimeout);
         http::async_write(this->stream, this->message,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              self->releaseUnread(self->unreadBytes);
                               self->onWritten(error);
                           });
     }
 
+    // Bytes of responses that this connection holds.
+    [[nodiscard]] std::size_t heldBytes() const { return this->unreadBytes; }
+
     // Whether this part may follow the parts so far. A response that begins a second time would
     // reach the client within the body of the first.
     [[nodiscard]] bool isInOrder(const ServerResponse &response) const
@@ -183,6 +195,19 @@
             this->stream.cancel();
     }
 
+    // Closes the connection of a client that does not read. What is being written is freed when its
+    // operation ends.
+    void giveUpUnread()
+    {
+        this->releaseUnread(this->unreadBytes);
+        const std::size_t written = this->parts.empty() ? 0 : 1;
+        this->parts.erase(this->parts.begin() + static_cast<std::ptrdiff_t>(written),
+                          this->parts.end());
+        if (written > 0)
+            this->parts.front().body.clear();
+        this->breakOff();
+    }
+
     void breakOff()
     {
         this->releasePending();
@@ -192,6 +217,7 @@
     void writePart(ServerResponse &&response)
     {
         this->partsBegun = true;
+        this->holdUnread(response.body.size());
         this->parts.push_back(std::move(response));
         if (this->parts.size() > maxQueuedParts)
             return this->close();
@@ -200,8 +226,22 @@
     }
 
 private:
+    void holdUnread(std::size_t bytes)
+    {
+        this->unreadBytes += bytes;
+        this->server.unreadBytes += bytes;
+    }
+
+    void releaseUnread(std::size_t bytes)
+    {
+        this->unreadBytes -= bytes;
+        this->server.unreadBytes -= bytes;
+    }
+
     void readHeader()
     {
+        this->buffer.max_size(std::max(this->server.settings.maxHeaderBytes + bodyReadBytes,
+                                       this->buffer.size() + bodyReadBytes));
         this->parser.emplace();
         this->parser->header_limit(
                 static_cast<std::uint32_t>(this->server.settings.maxHeaderBytes));
@@ -267,6 +307,7 @@
         if (error)
             return this->close();
         const bool isLast = this->parts.front().part == ResponsePart::Last;
+        this->releaseUnread(this->parts.front().body.size());
         this->parts.pop_front();
         if (isLast)
             return this->onWritten(error);
@@ -293,8 +334,10 @@
         const std::size_t bytes = this->parser->get().body().size();
         this->server.bufferedBytes += bytes - this->bufferedBytes;
         this->bufferedBytes = bytes;
-        if (this->server.bufferedBytes > this->server.settings.maxBufferedBytes)
+        if (this->server.bufferedBytes > this->server.settings.maxBufferedBytes) {
+            ++this->server.memoryRefusals;
             return this->reject(503, "queue_full");
+        }
         if (this->parser->is_done())
             return this->onRead({});
         this->stream.expires_after(this->server.settings.readTimeout);
@@ -311,7 +354,9 @@
     {
         if (error == http::error::body_limit)
             return this->reject(413, "body_too_large");
-        if (error == http::error::header_limit)
+        if (error == http::error::buffer_overflow)
+            ++this->server.memoryRefusals;
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return this->reject(431, "headers_too_large");
         const bool isDisconnect = error == http::error::end_of_stream
                                   || error == beast::error::timeout
@@ -430,6 +475,7 @@
     std::string chunk;
     std::string requestId; // Echoed, so that the client can match the response.
     std::size_t bufferedBytes = 0;
+    std::size_t unreadBytes = 0; // Of responses that are not written yet.
     core::ReplyToken currentToken{};
     bool responsePending = false;
     bool partsBegun = false; // The first part of the pending response was accepted.
@@ -508,6 +554,20 @@
     this->pendingChanged.notify_all();
 }
 
+// Closes the connections that hold most, until the others fit.
+void HttpServer::Implementation::limitUnreadBytes()
+{
+    while (this->unreadBytes > this->settings.maxUnreadBytes) {
+        const auto largest = std::max_element(
+                this->sessions.begin(), this->sessions.end(),
+                [](const Session *a, const Session *b) { return a->heldBytes() < b->heldBytes(); });
+        if (largest == this->sessions.end() || (*largest)->heldBytes() == 0)
+            return;
+        ++this->memoryRefusals;
+        (*largest)->giveUpUnread();
+    }
+}
+
 void HttpServer::Implementation::handle(Command &&command)
 {
     if (std::holds_alternative<BeginDrain>(command))
@@ -540,6 +600,7 @@
         session->write(std::move(response));
     else
         session->writePart(std::move(response));
+    this->limitUnreadBytes();
 }
 
 HttpServer::HttpServer(std::unique_ptr<Implementation> implementation)
@@ -600,6 +661,11 @@
     return this->implementation->misplacedResponses;
 }
 
+std::uint64_t HttpServer::memoryRefusalCount() const
+{
+    return this->implementation->memoryRefusals;
+}
+
 void HttpServer::stop()
 {
     this->implementation->loop.stop();
