Client accounts, usage reports and target orders

Requests are authorized once, where the callers' listener distributes them, by the accounts of the routing table in force. Batches are named ACCOUNT/ID inside the system. A new duty counts the use of accounts on each node; the holder of the lease reports it and orders targets by the demand that the owners of batches report. All of it takes effect only where the routing table lists accounts or limits for scaling and the settings name a provider.

--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumpulley/core/accounts/client_accounts.hpp>
 #include <geraniumpulley/core/batch/batch.hpp>
 #include <geraniumpulley/core/batch/batch_progress.hpp>
 #include <geraniumpulley/core/batch/batch_state.hpp>
@@ -7,6 +8,7 @@
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
 #include <geraniumpulley/core/identifier.hpp>
+#include <geraniumpulley/core/leader/service_demand.hpp>
 #include <geraniumpulley/core/limits/permits.hpp>
 #include <geraniumpulley/core/limits/request_rate.hpp>
 #include <geraniumpulley/core/row_version.hpp>
@@ -226,6 +228,7 @@
     Time deadline{}; ///< Time limit of the run, which the engine is also sent.
     RunCause cause = RunCause::First;
     Duration silenceLimit{}; ///< Time without an event after which the run is given up.
+    std::optional<AccountName> account = {}; ///< Set if the routing table has accounts.
 };
 /// Cancels a run; a `RunEnded` still follows.
 struct CancelRun
@@ -311,7 +314,7 @@
                      StartRun, CancelRun, ScoreRequested, AnswerBatchSubmission, AnswerResults,
                      AnswerItemBody, AnswerBatchProgress, ForwardProgressRequest, AnswerBatchEnd,
                      OwnershipChanged, BatchesDrained, RateLimitChanged, RequestPermits,
-                     EngineUnreached>;
+                     EngineUnreached, DemandReport>;
 
 /// \return the state of a node without a directory, which answers submissions with
 /// `StoreUnavailable`.
--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -65,6 +65,7 @@
     std::uint32_t spilloverPercent = 50;
     /// Age at which a batch is removed from the store; longer than trainers may read its results.
     Duration resultRetention = std::chrono::seconds(150);
+    Duration demandPeriod = std::chrono::milliseconds(500); ///< Between reports of demand.
 };
 
 /// Why an item is sent to an engine.
@@ -270,6 +271,8 @@
     Permits permits;
     OperationId nextOperation{1};
     Time nextSlowRunCheckAt{};
+    /// When the demand is reported next; unset while there is none.
+    std::optional<Time> nextDemandReportAt;
     bool draining = false;
     Time answersDueAt = Time::max(); ///< In a planned stop, when every request must be answered.
     bool drained = false; ///< `BatchesDrained` has been reported.
--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumpulley/core/accounts/client_accounts.hpp>
 #include <geraniumpulley/core/batch/batch.hpp>
 #include <geraniumpulley/core/calls/crash_suspects.hpp>
 #include <geraniumpulley/core/calls/load_balancing.hpp>
@@ -34,7 +35,9 @@
     std::string method;
     std::string target; ///< Request target: path and query.
     std::string host;
-    std::string credentials; ///< Those that the client has sent, which tell callers apart.
+    /// The client's account, or the credentials that it has sent; they tell callers apart.
+    std::string credentials;
+    std::optional<AccountName> account; ///< Set if the routing table has accounts.
     std::string requestId; ///< Identifies this attempt of the client.
     std::vector<HttpHeader> headers; ///< End-to-end headers, without hop-by-hop ones.
     std::string body;
@@ -200,6 +203,7 @@
     Served, ///< The answer is a target's own.
     NoRoutingTable,
     NoRoute,
+    AccountUnknown, ///< The routing table has changed since the request was authorized.
     NoTarget, ///< The service has no target that accepts requests.
     TargetsFull, ///< Every target that was tried refused the request.
     RateLimited, ///< The rate limits of the targets allow the request too late.
@@ -225,6 +229,12 @@
     std::optional<TargetId> target; ///< The target that answered or was tried last.
     Duration latency{}; ///< Time since the request arrived.
 };
+/// Reports that a client's request has begun to run at a target.
+struct RequestBegan
+{
+    AccountName account;
+    Duration age{}; ///< Time since the request was sent to that target.
+};
 /// Sends the head of a stream to the caller.
 struct SendStreamHead
 {
@@ -292,7 +302,7 @@
                      EndStream, ScoreCompleted, RateLimitChanged, RequestPermits, FindStreamOrigin,
                      FindOnlySoftware, StoreStreamOrigins, SweepStreamOrigins, ProbeTargets,
                      CrashCheckCompleted, CrashRecorded, CrashRecordsChanged, StoreCrashRecords,
-                     ReachChanged>;
+                     ReachChanged, RequestBegan>;
 
 struct EntrySettings
 {
@@ -321,6 +331,7 @@
     SoftwareVersion software; ///< The target's software.
     std::uint64_t targetStartedAt = 0; ///< As in `FleetTarget`.
     bool hasEvents = false; ///< Events of its stream were sent to the caller.
+    Time sentAt{};
     Time lastEventAt{}; ///< Time of the last event of its stream, or when it was sent.
     Duration silenceLimit{}; ///< Time without an event after which its stream is given up.
 };
@@ -346,6 +357,7 @@
     std::uint32_t attemptCount = 0; ///< Attempts that may have run.
     std::uint32_t refusals = 0; ///< Attempts that did not run.
     bool mayHaveRun = false;
+    bool isBeginReported = false; ///< A `RequestBegan` was emitted.
     /// A target's error answer, forwarded if no attempt succeeds.
     std::optional<EntryAnswer> targetFailure;
     std::optional<Time> nextAttemptAt; ///< When a retry or a hedged attempt is due.
--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/core/batch/batch_head.hpp>
 #include <geraniumpulley/core/calls/crash_log.hpp>
+#include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/fleet/engine_assignments.hpp>
 #include <geraniumpulley/core/fleet/fleet_target.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
@@ -19,12 +20,26 @@
 /// The contents of the store's tables: routes, targets, weights and batches.
 namespace geraniumpulley::core {
 
+/// Which node is the leader, which alone orders weights and targets and reports usage.
+struct Leadership
+{
+    NodeId holder; ///< Empty if no node holds the lease.
+    bool isHeldHere = false; ///< Whether this node holds the lease.
+    FencingToken fence{}; ///< Rises with each holder.
+    /// If this node holds the lease, when it may act for the first time.
+    Time actsFrom{};
+
+    bool operator==(const Leadership &) const = default;
+};
+
 /// An immutable snapshot of the tables that the duties of one process share. A part that has not
 /// changed is the same object in the next snapshot.
 struct Directory
 {
     /// The newest routing table; null until one has been read.
     std::shared_ptr<const RoutingTable> routing;
+    /// When the routing table was last read from the store.
+    std::optional<Time> routingReadAt;
     std::shared_ptr<const TargetMap> targets;
     /// When the targets were last read from the store.
     std::optional<Time> targetsReadAt;
@@ -45,6 +60,7 @@
     /// Until this time no other node can have taken over the batches that this node owns, so this
     /// node can answer from its own state of them.
     Time ownershipValidUntil{};
+    Leadership leadership;
     /// The store's clock minus this node's clock; empty until the store has answered.
     std::optional<Duration> storeClockOffset;
 };
--- a/packages/core/include/geraniumpulley/core/fleet/fleet_target.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet_target.hpp
@@ -26,6 +26,7 @@
     std::uint64_t acceptedOrders = 0;
     /// The start time that the target reports; it distinguishes starts under the same id.
     std::uint64_t startedAt = 0;
+    bool isReclaimable = false; ///< Whether the provider may take the target back.
 
     bool operator==(const FleetTarget &) const = default;
 };
--- a/packages/core/include/geraniumpulley/core/fleet/routing_table.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/routing_table.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <geraniumpulley/core/accounts/client_accounts.hpp>
+#include <geraniumpulley/core/fleet/scaling_limits.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +50,7 @@
     Duration giveUpAfter{};
     /// Batches only: whether all tokens of a text must come from the same weight version.
     bool singleVersion = false;
+    bool isPublic = false; ///< Whether requests need no key of an account.
 };
 
 struct RoutedService
@@ -54,6 +58,8 @@
     ServiceName name;
     std::uint32_t maxConnections = 0; ///< The limit for each target, over all callers together.
     bool isEngine = false; ///< Whether the targets of the service are model engines.
+    /// The limits within which targets are ordered; without them none are ordered.
+    std::optional<ScalingLimits> scaling = {};
 };
 
 /// Limits on the size and duration of requests from clients.
@@ -71,6 +77,7 @@
     std::vector<Route> routes;
     std::vector<RoutedService> services;
     EntryLimits limits;
+    std::optional<ClientAccounts> accounts; ///< Unset if requests need no keys.
 };
 
 /// \param host the host, with or without a port.
--- a/packages/core/include/geraniumpulley/core/http_status.hpp
+++ b/packages/core/include/geraniumpulley/core/http_status.hpp
@@ -9,6 +9,7 @@
 inline constexpr std::uint32_t accepted = 202;
 inline constexpr std::uint32_t firstRedirection = 300;
 inline constexpr std::uint32_t badRequest = 400;
+inline constexpr std::uint32_t unauthorized = 401;
 inline constexpr std::uint32_t notFound = 404;
 inline constexpr std::uint32_t requestTimeout = 408;
 inline constexpr std::uint32_t conflict = 409;
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -53,6 +53,11 @@
 /// Retries pending ends and answers the requests whose deadline has passed.
 void advanceBatchEnds(BatchContext &context);
 
+// batch_demand.cpp
+
+/// Reports the demand of the owned batches, where a service of the routing table is scaled.
+void reportDemand(BatchContext &context);
+
 // batch_commits.cpp
 
 /// Sends the next results and partial texts to the store, unless a commit is in flight.
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -177,6 +177,7 @@
         startRuns(context);
     for (const RequestPermits &request : duePermitRequests(state.permits, now))
         context.actions.emplace_back(request);
+    reportDemand(context);
     advanceReleases(context);
     reportDrained(context);
     return std::move(context.actions);
@@ -213,6 +214,8 @@
     }
     if (!state.runs.empty())
         earliest.add(state.nextSlowRunCheckAt);
+    if (state.nextDemandReportAt)
+        earliest.add(*state.nextDemandReportAt);
     addBackoffTimes(state, now, earliest);
     addRestartTimes(state, now, earliest);
     addPermitTimes(state, now, earliest);
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -82,6 +82,12 @@
     return waiting;
 }
 
+// Returns the account that targets are told, if the routing table has accounts.
+std::optional<AccountName> accountOfBatch(const BatchContext &context, const BatchId &batch)
+{
+    return context.state.directory->routing->accounts ? accountOf(batch) : std::nullopt;
+}
+
 void startRun(BatchContext &context, OwnedBatch &batch, std::uint32_t index,
               const FleetTarget &engine, const Route &route)
 {
@@ -107,9 +113,10 @@
     const Duration timeout = route.giveUpAfter > Duration{} ? route.giveUpAfter : defaultTimeout;
     const std::uint32_t urgency =
             item.nextRunCause == RunCause::First ? defaultUrgency : resumedUrgency;
-    context.actions.emplace_back(StartRun{
-            run, engine.target, engine.software, batch.head.id, batch.spec, index, item.lastEventId,
-            urgency, batch.submittedAt + timeout, item.nextRunCause, record.silenceLimit});
+    context.actions.emplace_back(
+            StartRun{run, engine.target, engine.software, batch.head.id, batch.spec, index,
+                     item.lastEventId, urgency, batch.submittedAt + timeout, item.nextRunCause,
+                     record.silenceLimit, accountOfBatch(context, batch.head.id)});
     item.phase = ItemPhase::Running;
     item.run = run;
     item.lastTarget = engine.target.id;
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -65,6 +65,9 @@
         call->host = event.request.host;
         call->requestId = event.request.id;
         call->body = event.request.body;
+        const Directory *directory = this->state.directory.get();
+        if (directory != nullptr && directory->routing && directory->routing->accounts)
+            call->account = accountOf(event.batch);
         EntryRequest request;
         request.call = std::move(call);
         request.scoreRequest = event;
@@ -100,6 +103,7 @@
         if (event.notExecuted || event.answer.status == status::misdirected)
             return this->retryAfterRefusal(position);
         request.mayHaveRun = true;
+        this->reportBegin(request, attempt->sentAt);
         if (event.hasSignature)
             this->clearOfCrashes(request);
         // A stream that has begun takes nothing but events of a stream.
@@ -157,6 +161,7 @@
         if (event.eventId == 0)
             request.repeatable = false;
         request.lastEventId = event.eventId;
+        this->reportBegin(request, this->now);
         this->recordEventPause(attempt->second);
         this->actions.emplace_back(SendStreamEvent{attempt->second.reply, event.bytes});
     }
@@ -219,6 +224,7 @@
         if (event.failure == EntryFailure::NotSent)
             return this->retryAfterRefusal(position);
         position->second.mayHaveRun = true;
+        this->reportBegin(position->second, attempt->sentAt);
         this->noteSilence(position->second, *attempt);
         if (event.closedByTarget)
             this->checkForCrash(position->second, *attempt);
@@ -396,6 +402,11 @@
                                                             std::numeric_limits<int>::max()));
         if (service == nullptr)
             return this->refuse(position, EntryVerdict::NoRoute, status::notFound);
+        // The table has changed since the request was authorized; the client's next try is
+        // authorized by the new one.
+        const bool needsAccount = routing.accounts && !route->isPublic && !entry.scoreRequest;
+        if (needsAccount && !entry.call->account)
+            return this->refuse(position, EntryVerdict::AccountUnknown, status::unavailable);
         entry.kind = route->kind;
         entry.resumable = route->kind == RouteKind::Stream && route->resumable;
         entry.repeatable =
@@ -431,6 +442,15 @@
                                  *this->state.answersDueAt, this->now);
     }
 
+    // Usage counts each client request once, when it is known to have run.
+    void reportBegin(EntryRequest &request, Time begunAt)
+    {
+        if (!request.call->account || request.scoreRequest
+            || std::exchange(request.isBeginReported, true))
+            return;
+        this->actions.emplace_back(RequestBegan{*request.call->account, this->now - begunAt});
+    }
+
     void recordEventPause(EntryAttempt &attempt)
     {
         const Duration pause = this->now - std::exchange(attempt.lastEventAt, this->now);
@@ -572,6 +592,7 @@
         attempt.runsAlone = request.runsAloneUntil.has_value();
         if (attempt.runsAlone)
             ++this->state.suspectsPerTarget[target.id];
+        attempt.sentAt = this->now;
         attempt.lastEventAt = this->now;
         attempt.silenceLimit =
                 silenceLimit(request.minSilenceLimit,
@@ -836,7 +857,9 @@
     void closeRequest(Requests::iterator position)
     {
         for (const OperationId operation : position->second.openAttempts) {
-            this->state.attempts.at(operation).cancelled = true;
+            EntryAttempt &attempt = this->state.attempts.at(operation);
+            attempt.cancelled = true;
+            this->reportBegin(position->second, attempt.sentAt);
             this->actions.emplace_back(CancelAttempt{operation});
         }
         this->state.requests.erase(position);
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -43,6 +43,12 @@
            && now >= state.ordersAllowedFrom && now < state.ownershipValidUntil;
 }
 
+Leadership leadershipOf(const FleetState &state)
+{
+    return {state.lease.holder, holdsLease(state) && !state.draining,
+            static_cast<FencingToken>(state.lease.version), state.ordersAllowedFrom};
+}
+
 // Keeps the object of the last snapshot if the value is the same.
 template<typename Map>
 void replaceIfChanged(std::shared_ptr<const Map> &part, const Map &value)
@@ -61,6 +67,8 @@
     {
         const Duration failedFor = recordReadCompleted(this->follower(event.table), event.isFull,
                                                        event.upTo, this->now);
+        if (event.table == FleetTable::Routing)
+            this->state.published.routingReadAt = this->now;
         if (event.table == FleetTable::Targets) {
             this->state.published.targetsReadAt = this->now;
             if (failedFor >= this->state.settings.minLapseOutage)
@@ -141,6 +149,7 @@
     {
         this->state.ownershipValidUntil = {};
         this->state.published.targetsReadAt.reset();
+        this->state.published.routingReadAt.reset();
         this->state.nextHeartbeatAt = this->now;
         this->state.presenceChanged = true;
     }
@@ -281,9 +290,12 @@
     void publish()
     {
         FleetState &state = this->state;
-        if (!state.contentChanged && !state.presenceChanged)
+        const Leadership leadership = leadershipOf(state);
+        if (!state.contentChanged && !state.presenceChanged
+            && leadership == state.published.leadership)
             return;
         Directory &next = state.published;
+        next.leadership = leadership;
         next.routing = state.routing;
         next.targetsKnown = state.targetsKnown;
         if (state.targetsChanged)
--- /dev/null
+++ b/packages/core/src/leader/leader.cpp
@@ -0,0 +1,180 @@
+#include <geraniumpulley/core/leader/leader.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumpulley::core {
+namespace {
+
+// Decides by the directory whether this node may act as the leader now.
+bool mayAct(const LeaderState &state, Time now)
+{
+    const Directory *directory = state.directory.get();
+    if (directory == nullptr || state.draining)
+        return false;
+    const Leadership &leadership = directory->leadership;
+    return leadership.isHeldHere && now >= leadership.actsFrom
+           && now < directory->ownershipValidUntil && state.supersededFence != leadership.fence;
+}
+
+bool reportsUsage(const LeaderState &state)
+{
+    return state.directory && state.directory->routing && state.directory->routing->accounts;
+}
+
+struct Handler
+{
+    LeaderState &state;
+    Time now;
+    WallTime wallNow;
+    std::vector<LeaderAction> actions;
+
+    void operator()(const UsageRecorded &event)
+    {
+        recordUsage(this->state.counter, event.account, event.begunAt, this->now, this->wallNow);
+        if (this->state.draining)
+            this->writeAllCounts();
+    }
+
+    void operator()(const LeaderDirectoryChanged &event)
+    {
+        this->state.directory = event.directory;
+    }
+
+    void operator()(const DemandReceived &event)
+    {
+        recordDemand(this->state.orders, event.report, this->now);
+    }
+
+    void operator()(const UsageCountsStored &event)
+    {
+        recordUsageWrite(this->state.counter, event.window, event.revision, event.succeeded,
+                         this->now);
+    }
+
+    void operator()(const UsageReportFound &event)
+    {
+        onReportFound(this->state.reporter, event.window, event.succeeded, event.counts, this->now);
+    }
+
+    void operator()(const UsageCountsRead &event)
+    {
+        onCountsRead(this->state.reporter, event.window, event.succeeded, event.counts, this->now);
+    }
+
+    void operator()(const UsageReportDecided &event)
+    {
+        onReportDecided(this->state.reporter, event.window, event.outcome, this->now);
+    }
+
+    void operator()(const UsageReportSent &event)
+    {
+        // Usage reports are refused for no other reason.
+        if (event.reply == ProviderReply::Conflict)
+            this->state.supersededFence = event.fence;
+        onReportSent(this->state.reporter, event.window, event.reply, this->now);
+    }
+
+    void operator()(const TargetsOrdered &event)
+    {
+        onTargetsOrdered(this->state.orders, event.group, event.reply, this->now);
+    }
+
+    void operator()(const LeaderDraining &)
+    {
+        this->state.draining = true;
+        this->writeAllCounts();
+    }
+
+    void operator()(const LeaderTick &) { }
+
+    void writeAllCounts()
+    {
+        for (auto &[window, counted] : this->state.counter.windows) {
+            if (counted.writeAt)
+                counted.writeAt = this->now;
+        }
+    }
+
+    // Runs after each event and performs all actions that have become due.
+    void advance()
+    {
+        for (StoreUsageCounts &write :
+             dueUsageWrites(this->state.counter, this->now, this->wallNow))
+            this->actions.emplace_back(std::move(write));
+        this->updateTurn();
+        if (!this->state.isActing)
+            return;
+        const FencingToken fence = this->state.actingFence;
+        if (reportsUsage(this->state)) {
+            for (UsageAction &action :
+                 advanceReports(this->state.reporter, fence, this->now, this->wallNow))
+                std::visit(
+                        [this](auto &content) { this->actions.emplace_back(std::move(content)); },
+                        action);
+        }
+        for (OrderTargets &order :
+             planTargetOrders(this->state.orders, *this->state.directory, fence, this->now))
+            this->actions.emplace_back(std::move(order));
+    }
+
+    // A turn lasts as long as the lease, also while no heartbeat proves it for a moment.
+    void updateTurn()
+    {
+        const bool acts = mayAct(this->state, this->now);
+        const Leadership leadership =
+                this->state.directory ? this->state.directory->leadership : Leadership{};
+        const bool isOtherTurn =
+                !leadership.isHeldHere || leadership.fence != this->state.actingFence;
+        if (isOtherTurn) {
+            abandonReports(this->state.reporter);
+            abandonOrders(this->state.orders);
+            this->state.actingFence = leadership.fence;
+        }
+        if (acts != this->state.isActing)
+            this->actions.emplace_back(LeaderTurnChanged{acts, leadership.fence});
+        this->state.isActing = acts;
+    }
+};
+
+} // namespace
+
+LeaderState makeLeaderState(const LeaderSettings &settings)
+{
+    LeaderState state;
+    state.counter.settings.window = settings.usageWindow;
+    state.reporter.settings.window = settings.usageWindow;
+    state.reporter.settings.dueAfter = settings.usageDueAfter;
+    // Half of the time is left for sending, also where reports are due early.
+    state.reporter.settings.decideDelay =
+            std::min(state.reporter.settings.decideDelay, settings.usageDueAfter / 2);
+    return state;
+}
+
+std::vector<LeaderAction> step(LeaderState &state, const LeaderEvent &event, Time now,
+                               WallTime wallNow)
+{
+    Handler handler{state, now, wallNow, {}};
+    std::visit(handler, event);
+    handler.advance();
+    return std::move(handler.actions);
+}
+
+std::optional<Time> dueAt(const LeaderState &state, Time now, WallTime wallNow)
+{
+    std::optional<Time> due = dueAt(state.counter);
+    const auto add = [&](Time time) { due = std::min(due.value_or(time), time); };
+    const Directory *directory = state.directory.get();
+    if (directory != nullptr && directory->leadership.isHeldHere
+        && directory->leadership.actsFrom > now)
+        add(directory->leadership.actsFrom);
+    if (!mayAct(state, now))
+        return due;
+    if (reportsUsage(state))
+        add(*dueAt(state.reporter, now, wallNow));
+    if (directory->routing && scalesTargets(*directory->routing))
+        add(std::max(state.orders.nextPlanAt, now + Duration{1}));
+    return due;
+}
+
+} // namespace geraniumpulley::core
--- a/packages/entry/include/geraniumpulley/entry/settings.hpp
+++ b/packages/entry/include/geraniumpulley/entry/settings.hpp
@@ -24,6 +24,11 @@
     core::Duration stopTimeout = std::chrono::seconds(8);
     /// Processor time available to the process, in thousandths of a core; 0 if unknown.
     std::uint32_t capacityMillicores = 0;
+    /// Address of the provider's API for usage reports and target orders; empty for none.
+    std::string providerAddress;
+    core::Duration usageWindow = std::chrono::seconds(5); ///< Length of a window of usage.
+    /// Time from the end of a window until its usage has to be reported.
+    core::Duration usageDueAfter = std::chrono::seconds(10);
     core::Duration leaseDuration = std::chrono::seconds(3); ///< Duration of the weight order lease.
 
     bool operator==(const Settings &) const = default;
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -218,6 +218,8 @@
         static_cast<void>(this->parts.calls.inbox().tryPush(std::move(unreached)));
     }
 
+    void perform(core::DemandReport &&report) { sendDemand(this->parts, report); }
+
     void perform(core::RateLimitChanged &&change) { logRateLimit(this->parts, change); }
 
     void perform(core::RequestPermits &&request)
--- a/packages/entry/src/call_duty.cpp
+++ b/packages/entry/src/call_duty.cpp
@@ -30,6 +30,8 @@
         return "no_routing_table";
     case core::EntryVerdict::NoRoute:
         return "no_route";
+    case core::EntryVerdict::AccountUnknown:
+        return "account_unknown";
     case core::EntryVerdict::NoTarget:
         return "no_target";
     case core::EntryVerdict::TargetsFull:
@@ -272,6 +274,15 @@
         });
     }
 
+    // A full ring loses the count of this request.
+    void perform(core::RequestBegan &&began)
+    {
+        if (this->parts.hasLeaderDuty
+            && !this->parts.leader.inbox().tryPush(
+                    core::UsageRecorded{std::move(began.account), runtime::wallNow() - began.age}))
+            this->parts.metrics.count("usage_counts_dropped");
+    }
+
     void perform(core::ScoreCompleted &&completion)
     {
         this->parts.logger.write(
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -20,8 +20,9 @@
 
 using runtime::field;
 
-// Limit on the request bodies of all connections together: a quarter of a small machine's memory.
-constexpr std::size_t maxBufferedBytes = 64 * 1024 * 1024;
+// Limit on the request bodies of all connections together: a third of the memory of the smallest
+// machine, and more than one body of the largest size that operators allow.
+constexpr std::size_t maxBufferedBytes = 40 * 1024 * 1024;
 constexpr std::size_t ringCapacity = 1024;
 
 net::HttpClientSettings clientSettings(const char *name)
@@ -102,6 +103,7 @@
         parts.fleet.stop();
         parts.calls.stop();
         parts.batches.stop();
+        parts.leader.stop();
     }
 
     template<typename Part>
@@ -122,6 +124,10 @@
                               this->settings.dataCentre,
                               incarnation};
         BOOST_OUTCOME_TRY(this->openServers());
+        if (!this->settings.providerAddress.empty()) {
+            parts.hasLeaderDuty = true;
+            startLeaderDuty(parts, self, this->settings);
+        }
         startCallDuty(parts, std::hash<std::string>{}(self.id.value) ^ self.incarnation);
         startBatchDuty(parts, self);
         startFleetDuty(parts, self, this->settings);
@@ -249,6 +255,8 @@
     parts.calls.inbox().push(core::EntryDraining{schedule.answersDueAt});
     parts.fleet.inbox().push(core::FleetDraining{});
     parts.batches.inbox().push(core::BatchDraining{schedule.answersDueAt});
+    if (parts.hasLeaderDuty)
+        parts.leader.inbox().push(core::LeaderDraining{});
     // All parts finish beside each other; the waits below only observe them, up to one deadline.
     runtime::Latch neverSet;
     neverSet.waitFor(timeUntil(schedule.listenerClosesAt));
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -24,6 +24,13 @@
 void startFleetDuty(Parts &parts, const core::Node &self, const Settings &settings);
 void startCallDuty(Parts &parts, std::uint64_t seed);
 void startBatchDuty(Parts &parts, const core::Node &self);
+void startLeaderDuty(Parts &parts, const core::Node &self, const Settings &settings);
+
+/// Sends the demand of this node's batches to the leader.
+void sendDemand(Parts &parts, const core::DemandReport &report);
+/// Passes the demand that another node reports to the leader duty.
+/// \return false if the duty does not run or its ring is full.
+bool receiveDemand(Parts &parts, const net::PeerMessage &message);
 
 /// The tick timer of a duty, which is rearmed only when the due time changes. Used on the duty's
 /// thread.
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -317,6 +317,9 @@
         // If a ring is full, the directory is not sent to its duty; the next one supersedes it.
         static_cast<void>(
                 this->parts.batches.inbox().tryPush(core::BatchDirectoryChanged{directory}));
+        if (this->parts.hasLeaderDuty)
+            static_cast<void>(
+                    this->parts.leader.inbox().tryPush(core::LeaderDirectoryChanged{directory}));
         this->updatePeers(*directory);
         if (!publish.contentChanged)
             return;
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -7,6 +7,7 @@
 #include <geraniumpulley/core/batch/batch_duty.hpp>
 #include <geraniumpulley/core/entry/entry.hpp>
 #include <geraniumpulley/core/fleet/fleet.hpp>
+#include <geraniumpulley/core/leader/leader.hpp>
 #include <geraniumpulley/core/limits/rate_limiter.hpp>
 #include <geraniumpulley/net/http_client.hpp>
 #include <geraniumpulley/net/http_server.hpp>
@@ -83,6 +84,8 @@
     runtime::Duty<core::FleetEvent> fleet{decisionRingCapacity};
     runtime::Duty<core::EntryEvent> calls{decisionRingCapacity};
     runtime::Duty<core::BatchEvent> batches{decisionRingCapacity};
+    runtime::Duty<core::LeaderEvent> leader{decisionRingCapacity};
+    bool hasLeaderDuty = false; ///< Whether `leader` runs; does not change while duties run.
     std::unique_ptr<net::HttpClient> targetClient; ///< Sends client calls and scoring requests.
     std::unique_ptr<net::HttpClient> engineClient; ///< Sends batch items and weight orders.
     std::unique_ptr<net::HttpClient> storeClient;
--- a/packages/entry/src/peer_paths.hpp
+++ b/packages/entry/src/peer_paths.hpp
@@ -9,6 +9,7 @@
 inline constexpr const char *crashesPath = "/crashes"; ///< Tells of crash records.
 inline constexpr const char *attemptsPath = "/attempts"; ///< Sends a request to a target.
 inline constexpr const char *cancelAttemptPath = "/attempts/cancel";
+inline constexpr const char *demandPath = "/demand"; ///< Tells the leader of demand.
 inline constexpr const char *permitsPath = "/permits"; ///< Requests permits for a target.
 
 } // namespace geraniumpulley::entry
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -2,12 +2,15 @@
 
 #include "batch_store.hpp"
 #include "crash_store.hpp"
+#include "duties.hpp"
 #include "peer_paths.hpp"
 #include "permit_link.hpp"
 #include "progress_messages.hpp"
 
+#include <geraniumpulley/core/accounts/authorization.hpp>
 #include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/platform/client_messages.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
 
 #include <fmt/format.h>
 
@@ -19,6 +22,21 @@
 
 using runtime::field;
 
+const char *nameOf(core::AccessVerdict verdict)
+{
+    switch (verdict) {
+    case core::AccessVerdict::Granted:
+        return "granted";
+    case core::AccessVerdict::UnknownKey:
+        return "unknown_key";
+    case core::AccessVerdict::TableOutdated:
+        return "table_outdated";
+    case core::AccessVerdict::NoRoutingTable:
+        break;
+    }
+    return "no_routing_table";
+}
+
 bool answerStatus(net::HttpServer &server, core::ReplyToken token, std::uint32_t status,
                   std::string body = {})
 {
@@ -38,16 +56,26 @@
     return true;
 }
 
-bool routeBatchRequest(Parts &parts, const net::ServerRequest &request)
+bool denyAccess(Parts &parts, const net::ServerRequest &request, core::AccessVerdict verdict)
 {
-    auto decoded = platform::decodeBatchRequest(request);
+    parts.metrics.count(std::string("access_") + nameOf(verdict));
+    parts.logger.write("access_denied", field("request", platform::requestId(request)),
+                       field("reason", nameOf(verdict)),
+                       field("has_key", platform::findKey(request).has_value()));
+    parts.callerServer->respond(platform::encodeAccessDenied(request.token, verdict));
+    return true;
+}
+
+bool routeBatchRequest(Parts &parts, const net::ServerRequest &request, const core::Access &access)
+{
+    auto decoded = platform::decodeBatchRequest(request, access);
     if (!decoded)
         return answerBadRequest(parts, request.token, decoded.error().message());
     return std::visit([&](auto &event) { return parts.batches.inbox().tryPush(std::move(event)); },
                       decoded.value());
 }
 
-bool routeSubmission(Parts &parts, net::ServerRequest &&request)
+bool routeSubmission(Parts &parts, net::ServerRequest &&request, const core::Access &access)
 {
     const core::ReplyToken token = request.token;
     if (request.body.size() > maxSubmissionBytes) {
@@ -55,7 +83,7 @@
                            field("most", maxSubmissionBytes));
         return answerStatus(*parts.callerServer, token, core::status::contentTooLarge);
     }
-    auto spec = platform::decodeSubmission(std::move(request));
+    auto spec = platform::decodeSubmission(std::move(request), access);
     if (!spec)
         return answerBadRequest(parts, token, spec.error().message());
     return parts.batches.inbox().tryPush(
@@ -66,24 +94,32 @@
 
 bool routeClientRequest(Parts &parts, net::ServerRequest &&request)
 {
-    if (platform::isBatchRequest(request))
-        return routeBatchRequest(parts, request);
     const core::DirectoryPointer directory = parts.directory.get();
+    const bool isBatchRequest = platform::isBatchRequest(request);
     const core::Route *route = nullptr;
-    if (directory && directory->routing)
+    if (directory && directory->routing && !isBatchRequest)
         route = core::findRoute(*directory->routing, platform::requestHost(request),
                                 request.target);
+    auto progressRequest =
+            route == nullptr && !isBatchRequest ? decodeProgressRequest(request) : std::nullopt;
+    const core::Access access =
+            core::authorize(directory.get(), route, platform::findKey(request), runtime::now());
+    // Without a route the call duty refuses the request, whoever sends it.
+    const bool isRouted = route != nullptr || isBatchRequest || progressRequest;
+    if (isRouted && access.verdict != core::AccessVerdict::Granted)
+        return denyAccess(parts, request, access.verdict);
+    if (isBatchRequest)
+        return routeBatchRequest(parts, request, access);
     const bool isSubmission = route != nullptr && route->kind == core::RouteKind::Batch;
     if (isSubmission && request.method == "POST")
-        return routeSubmission(parts, std::move(request));
-    if (route == nullptr) {
-        if (auto batch = decodeProgressRequest(request))
-            return parts.batches.inbox().tryPush(
-                    core::BatchProgressRequested{request.token, std::move(*batch), false});
-    }
+        return routeSubmission(parts, std::move(request), access);
+    if (progressRequest)
+        return parts.batches.inbox().tryPush(core::BatchProgressRequested{
+                request.token, core::qualifyBatchId(access.account, progressRequest->value),
+                false});
     const core::ReplyToken token = request.token;
     return parts.calls.inbox().tryPush(
-            core::EntryCallReceived{token, platform::decodeEntryCall(std::move(request))});
+            core::EntryCallReceived{token, platform::decodeEntryCall(std::move(request), access)});
 }
 
 void onClientDisconnected(Parts &parts, core::ReplyToken token)
@@ -115,6 +151,8 @@
     }
     if (message.path == crashesPath)
         return receiveCrashRecords(parts, message);
+    if (message.path == demandPath)
+        return receiveDemand(parts, message);
     if (message.path == progressPath)
         return parts.batches.inbox().tryPush(
                 core::BatchProgressRequested{message.token, {message.body}, true});
@@ -146,6 +184,8 @@
                                 + parts.engineClient->oversizedResponseCount()
                                 + parts.storeClient->oversizedResponseCount());
     text += fmt::format("peer_bytes {}\n", parts.peerLink->trafficBytes());
+    text += fmt::format("requests_refused_for_memory {}\n",
+                        parts.callerServer->memoryRefusalCount());
     text += fmt::format("misplaced_responses {}\n", parts.callerServer->misplacedResponseCount());
     return answerStatus(*parts.metricsServer, request.token, core::status::ok, std::move(text));
 }
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -109,6 +109,15 @@
     return readDuration<Seconds>(reader, current, formerTimeout);
 }
 
+// Without an address nothing is reported and no targets are ordered.
+std::string readProviderAddress(JsonReader &reader)
+{
+    std::string address = reader.readString("provider", "");
+    if (!address.empty() && !net::detail::parseAddress(address))
+        reader.report("provider", "'" + address + "' is not an address", "ip:port");
+    return address;
+}
+
 // Without a port the node serves no metrics.
 std::string readMetricsAddress(JsonReader &reader)
 {
@@ -165,6 +174,9 @@
     settings.leaseDuration =
             readDuration<Milliseconds>(reader, "lease_time_ms", settings.leaseDuration);
     settings.capacityMillicores = readCapacityMillicores(reader);
+    settings.providerAddress = readProviderAddress(reader);
+    settings.usageWindow = readDuration<Seconds>(reader, "usage_window_s", settings.usageWindow);
+    settings.usageDueAfter = readDuration<Seconds>(reader, "usage_due_s", settings.usageDueAfter);
     if (settings.nodeName.empty())
         reader.report("node", "is empty", "a non-empty name");
     reader.reportUnknownKeys();
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -31,6 +31,9 @@
 /// Table of the software that began each resumable stream, by the id of the client's attempt.
 inline constexpr const char *originsTable = "stream-origins";
 
+/// Table of the usage of client accounts by window: the counts of each node and the reports.
+inline constexpr const char *usageTable = "usage";
+
 platform::RowName headRow(const core::BatchId &id);
 platform::RowName ownerRow(const core::BatchId &id);
 platform::RowName resultRow(const core::BatchId &id, std::uint64_t position, std::size_t chunk);
--- a/packages/entry/tests/unit-settings.cpp
+++ b/packages/entry/tests/unit-settings.cpp
@@ -44,11 +44,27 @@
             {"bounds.lease_ms", "3000"}};
 }
 
+// Keeps or drops the sections of a template, "{{#NAME}}...{{/NAME}}", which do not nest.
+void renderSections(std::string &text, const TemplateValues &values)
+{
+    for (std::size_t start = text.find("{{#"); start != std::string::npos;
+         start = text.find("{{#")) {
+        const std::size_t begin = text.find("}}", start) + 2;
+        const std::string name = text.substr(start + 3, begin - start - 5);
+        const std::string endMark = "{{/" + name + "}}";
+        const std::size_t end = text.find(endMark, begin);
+        const std::string content =
+                values.count(name) == 0 ? std::string() : text.substr(begin, end - begin);
+        text.replace(start, end + endMark.size() - start, content);
+    }
+}
+
 // Fills in the template of the deployment as the platform does. Without a value nothing is written.
 std::string renderTemplate(const TemplateValues &values)
 {
     std::ifstream file(SOURCE_DIRECTORY "/deploy/settings.json.in");
     std::string text{std::istreambuf_iterator<char>(file), {}};
+    renderSections(text, values);
     for (std::size_t start = text.find("{{"); start != std::string::npos; start = text.find("{{")) {
         const std::size_t end = text.find("}}", start);
         const auto value = values.find(text.substr(start + 2, end - start - 2));
@@ -186,3 +202,20 @@
     CHECK(settings.at("stop_limit_ms").as_number().to_uint64() == 8000);
     CHECK(settings.at("lease_time_ms").as_number().is_uint64());
 }
+
+// Guards against a deployment without a provider whose nodes send usage reports, and one with a
+// provider whose nodes do not find it.
+TEST_CASE("the template names the provider only where the deployment has one")
+{
+    CHECK(entry::parseSettings(renderTemplate(templateValues())).settings.providerAddress.empty());
+    TemplateValues values = templateValues();
+    values["cloud.address"] = "127.0.0.1:9";
+    values["cloud.address|json"] = R"("127.0.0.1:9")";
+    values["bounds.report_window_s"] = "2.5";
+    values["bounds.usage_late_s"] = "8";
+    const entry::ParsedSettings parsed = entry::parseSettings(renderTemplate(values));
+    REQUIRE(parsed.problems.empty());
+    CHECK(parsed.settings.providerAddress == "127.0.0.1:9");
+    CHECK(parsed.settings.usageWindow == 2500ms);
+    CHECK(parsed.settings.usageDueAfter == 8s);
+}
