A node that was silent proves its ownership only after it has read who owns

Cause: an accepted heartbeat counted as proof that no node has taken over, also the first one after a gap in which others may have taken over. Until the node had read the batches table again, up to some 100 ms later, it acted under its old fencing token: it could order weights with a lower token after a higher one.

Change: after a gap of more than 1.3 s (the heartbeat timeout less the delay with which heartbeats are read), nothing proves ownership until a read of the table 1 s after the first accepted heartbeat.

--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -179,6 +179,12 @@
     /// How long a heartbeat that the store has accepted proves this node's ownership: less than the
     /// heartbeat timeout, after which other nodes take over.
     Duration ownershipValidity = std::chrono::milliseconds(1400);
+    /// The longest time from a heartbeat until the store has accepted the next one in which no node
+    /// can take over: the heartbeat timeout less the delay with which other nodes read heartbeats.
+    Duration maxHeartbeatGap = std::chrono::milliseconds(1300);
+    /// How long after a longer gap the rows of the batches table are read that show whether a node
+    /// has taken over: all nodes have read the new heartbeat by then.
+    Duration takeoverCheckDelay = std::chrono::milliseconds(1000);
     /// How long the targets have to be unreadable, directly and through other nodes, to suspect an
     /// outage of the store in which rows lapse: longer than one read that times out, and shorter
     /// than the silence after which the row of a live target is removed.
@@ -210,6 +216,11 @@
     std::uint64_t heartbeatCounter = 0; ///< The counter in the last heartbeat of this node.
     Time nextHeartbeatAt{};
     Time ownershipValidUntil{};
+    /// When the last heartbeat that the store has accepted was sent.
+    std::optional<Time> acceptedHeartbeatSentAt;
+    /// Set after a gap between heartbeats in which other nodes may have taken over: from this time
+    /// on a read of the batches table shows whether one has. Until then nothing proves ownership.
+    std::optional<Time> takeoverCheckAt;
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRowVersion{}; ///< The version of the row that `routing` was read from.
     std::map<TargetId, KnownTarget> targets;
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -77,6 +77,12 @@
         if (event.storeClock > Duration{})
             recordStoreTime(this->state.storeClock, event.storeClock, this->now);
         applyRows(this->state, event, this->now);
+        if (event.table == FleetTable::Batches && this->state.takeoverCheckAt
+            && this->now >= *this->state.takeoverCheckAt) {
+            this->state.takeoverCheckAt.reset();
+            this->updateOwnership();
+            this->state.presenceChanged = true;
+        }
     }
 
     void operator()(const TableReadFailed &event)
@@ -104,10 +110,27 @@
 
     void operator()(const HeartbeatWriteCompleted &event)
     {
-        this->state.heartbeatInFlight = false;
-        this->state.presenceChanged = true;
-        if (event.succeeded)
-            this->state.ownershipValidUntil = event.sentAt + this->state.settings.ownershipValidity;
+        FleetState &state = this->state;
+        state.heartbeatInFlight = false;
+        state.presenceChanged = true;
+        if (!event.succeeded)
+            return;
+        const bool hasGap =
+                state.acceptedHeartbeatSentAt
+                && this->now - *state.acceptedHeartbeatSentAt > state.settings.maxHeartbeatGap;
+        if (hasGap)
+            state.takeoverCheckAt = this->now + state.settings.takeoverCheckDelay;
+        state.acceptedHeartbeatSentAt = event.sentAt;
+        this->updateOwnership();
+    }
+
+    void updateOwnership()
+    {
+        FleetState &state = this->state;
+        state.ownershipValidUntil =
+                state.takeoverCheckAt || !state.acceptedHeartbeatSentAt
+                        ? Time{}
+                        : *state.acceptedHeartbeatSentAt + state.settings.ownershipValidity;
     }
 
     void operator()(const WeightOrderLeaseWriteCompleted &event)
@@ -147,6 +170,8 @@
 
     void operator()(const MachineSuspended &)
     {
+        // The monotonic clock does not show how long the gap is.
+        this->state.takeoverCheckAt = this->now + this->state.settings.takeoverCheckDelay;
         this->state.ownershipValidUntil = {};
         this->state.published.targetsReadAt.reset();
         this->state.published.routingReadAt.reset();
