--- a/packages/core/src/leader/target_orders.cpp
+++ b/packages/core/src/leader/target_orders.cpp
@@ -104,6 +104,13 @@
     return placed;
 }
 
+std::uint32_t orderedCount(const TargetOrders &orders, const TargetGroup &group,
+                           std::uint32_t present)
+{
+    const auto order = orders.groups.find(group);
+    return order == orders.groups.end() ? present : order->second.ordered.value_or(present);
+}
+
 // Returns the order that brings a group to `wanted` targets, if one is due.
 std::optional<OrderTargets> orderGroup(TargetOrders &orders, const RoutedService &service,
                                        const TargetGroup &group, std::uint32_t wanted,
@@ -149,8 +156,11 @@
         const std::uint32_t slots = targets.slots * percent;
         const std::uint32_t needed = (peak * orders.settings.headroomPercent + slots - 1) / slots;
         std::uint32_t reserved = 0;
-        for (const auto &[dataCentre, present] : targets.dataCentres)
+        std::uint32_t reclaimable = 0;
+        for (const auto &[dataCentre, present] : targets.dataCentres) {
             reserved += present.reserved;
+            reclaimable += present.reclaimable;
+        }
         const bool isReclaimable = service.scaling->reclaimablePrice.has_value();
         // Targets that the provider may not take back are never ordered away: emptying one moves
         // its work, and their first number is the operators' choice.
@@ -162,9 +172,12 @@
                 continue;
             const std::uint32_t presentCount =
                     isReclaimable ? present.reclaimable : present.reserved;
-            const std::uint32_t total = isReclaimable ? count : count + present.reserved;
-            auto order = orderGroup(orders, service, {service.name, dataCentre, isReclaimable},
-                                    total, presentCount, now);
+            const TargetGroup group{service.name, dataCentre, isReclaimable};
+            std::uint32_t total = isReclaimable ? count : count + present.reserved;
+            // Targets that make up for others that cannot be had stay until the others serve.
+            if (isReclaimable && reclaimable < extra)
+                total = std::max(total, orderedCount(orders, group, presentCount));
+            auto order = orderGroup(orders, service, group, total, presentCount, now);
             if (!order)
                 continue;
             order->fence = fence;
