--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -231,7 +231,7 @@
         for (const platform::Row &row : rows.rows) {
             auto record = decodeRecord(table, row, *this->targetRows);
             if (!record)
-                this->parts.metrics.count("rows_unreadable");
+                this->logUnreadable(table, row, record.error());
             read.rows.push_back(
                     {coreKey(table, row), row.version,
                      record ? std::move(record.value()) : core::FleetRecord(std::monostate{})});
@@ -239,6 +239,19 @@
         return read;
     }
 
+    // Another writer may leave any number of odd rows among those of the targets, so only those of
+    // the operators are logged.
+    void logUnreadable(core::FleetTable table, const platform::Row &row,
+                       const std::error_code &error)
+    {
+        this->parts.metrics.count("rows_unreadable");
+        if (table == core::FleetTable::Routing)
+            this->parts.logger.write("row_unreadable", field("table", row.name.table),
+                                     field("key", row.name.key),
+                                     field("version", static_cast<std::uint64_t>(row.version)),
+                                     field("error", error.message()));
+    }
+
     void perform(core::WriteHeartbeat &&write)
     {
         platform::Transaction transaction;
--- a/tests/live/unit-live_platform.cpp
+++ b/tests/live/unit-live_platform.cpp
@@ -459,3 +459,75 @@
     CHECK(inWindow <= maxRequests);
     CHECK(inWindow > 0);
 }
+
+// Guards against a request that is served without a key or under a withdrawn one, also after a
+// restart, and against an account that reads the batches of another.
+TEST_CASE("on the platform keys of client accounts are checked at each door")
+{
+    const auto tableWith = [](std::uint64_t version, const std::string &accounts) {
+        std::string table = live::makeRoutingTable(version);
+        table.insert(table.find(R"("limits":)"), R"("tenants":[)" + accounts + "],");
+        const std::string scorerRoute = R"("path_prefix":"/lookup/")";
+        table.insert(table.find(scorerRoute), R"("public":false,)");
+        return table;
+    };
+    live::PlatformFleet fleet;
+    REQUIRE(fleet.writeRow("op", "config",
+                           tableWith(3, R"({"name":"a","api_keys":["key-a","old-a"]},)"
+                                        R"({"name":"b","api_keys":["key-b"]})")));
+    fleet.startWorker("orders-1", "orders", "");
+    fleet.startWorker("engine-1", "engines", "m");
+    fleet.startNode("node-a");
+    fleet.startNode("node-b");
+    REQUIRE(fleet.waitUntilReady());
+    const auto statusOf = [&](const std::string &node, const std::string &method,
+                              const std::string &target, const std::string &key,
+                              const std::string &id = "id", const std::string &body = {}) {
+        std::map<std::string, std::string> headers;
+        if (!key.empty())
+            headers["Authorization"] = "Bearer " + key;
+        return fleet.call(node, method, target, id, body, headers).status;
+    };
+    CHECK(statusOf("node-a", "POST", "/lookup/1", "key-a", "c1", "x") == 200);
+    CHECK(statusOf("node-a", "POST", "/lookup/1", "", "c2", "x") == 401);
+    CHECK(statusOf("node-b", "POST", "/lookup/1", "none", "c3", "x") == 401);
+    CHECK(fleet.executedRequestIds("orders-1").find("c2") == std::string::npos);
+
+    CHECK(statusOf("node-a", "POST", "/samples/b", "", "batch", live::makeBatch("batch")) == 401);
+    CHECK(statusOf("node-a", "POST", "/samples/b", "old-a", "batch", live::makeBatch("batch"))
+          == 202);
+    CHECK(statusOf("node-b", "GET", "/-/lots/batch?after=0", "key-a") == 200);
+    CHECK(statusOf("node-b", "GET", "/-/lots/batch?after=0", "") == 401);
+    CHECK(statusOf("node-b", "GET", "/-/lots/batch?after=0", "key-b") == 404);
+    CHECK(statusOf("node-b", "DELETE", "/-/lots/batch", "key-b") == 404);
+
+    // The key is withdrawn; the batch goes on and is read with another key of the account.
+    REQUIRE(fleet.writeRow("op", "config",
+                           tableWith(4, R"({"name":"a","api_keys":["key-a"]},)"
+                                        R"({"name":"b","api_keys":["key-b"]})")));
+    for (const char *node : {"node-a", "node-b"})
+        CHECK(fleet.waitFor([&] { return statusOf(node, "POST", "/lookup/1", "old-a") == 401; }));
+    CHECK(statusOf("node-a", "GET", "/-/lots/batch?after=0", "old-a") == 401);
+    CHECK(fleet.waitFor([&] {
+        const HttpReply reply = fleet.call("node-b", "GET", "/-/lots/batch?after=0", {}, {},
+                                           {{"Authorization", "Bearer key-a"}});
+        return reply.status == 200
+               && web::json::value::parse(reply.body).at("results").size() == batchItemCount;
+    }));
+    CHECK(statusOf("node-b", "DELETE", "/-/lots/batch", "key-a") == 200);
+
+    // A table with malformed accounts leaves the one before in force, also after a restart.
+    REQUIRE(fleet.writeRow("op", "config",
+                           tableWith(5, R"({"name":"a","api_keys":["key-a","old-a"]},)"
+                                        R"({"name":"b","api_keys":["key-a"]})")));
+    CHECK(fleet.waitFor(
+            [&] { return hasLogged(fleet, "node-a", "error=\"a key is listed twice\""); }));
+    CHECK(statusOf("node-a", "POST", "/lookup/1", "old-a") == 401);
+    CHECK(statusOf("node-a", "POST", "/lookup/1", "key-a", "c4", "x") == 200);
+    for (const std::string &name : fleet.nodes) {
+        for (const std::string &line : fleet.process(name).lines()) {
+            CHECK(line.find("key-a") == std::string::npos);
+            CHECK(line.find("old-a") == std::string::npos);
+        }
+    }
+}
