--- a/packages/core/include/geraniumpulley/core/accounts/client_accounts.hpp
+++ b/packages/core/include/geraniumpulley/core/accounts/client_accounts.hpp
@@ -5,12 +5,12 @@
 #include <geraniumpulley/core/result.hpp>
 
 #include <cstddef>
-#include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
-#include <unordered_map>
 #include <vector>
 
 /// The accounts of clients and their keys.
@@ -27,7 +27,8 @@
     RepeatedKey, ///< Two accounts have the same key, or one has it twice.
 };
 
-std::error_code make_error_code(AccountErrc error);
+std::error_code
+make_error_code(AccountErrc error) noexcept; // NOLINT(readability-identifier-naming): ADL
 
 /// An account as the operators describe it.
 struct ClientAccount
@@ -43,26 +44,17 @@
     /// Errors: `AccountErrc`.
     static Result<ClientAccounts> create(const std::vector<ClientAccount> &accounts);
 
-    /// \return the account that holds the key, or null. Complexity: linear in the key's length.
+    /// \return the account that holds the key, or null. Complexity: logarithmic in the keys.
     [[nodiscard]] const AccountName *find(std::string_view key) const;
 
     /// \return the number of accounts.
     [[nodiscard]] std::size_t size() const { return this->names.size(); }
 
 private:
-    struct KeyHash
-    {
-        using is_transparent = void;
-        std::size_t operator()(std::string_view key) const
-        {
-            return std::hash<std::string_view>{}(key);
-        }
-    };
-
     ClientAccounts() = default;
 
     std::vector<AccountName> names;
-    std::unordered_map<std::string, std::size_t, KeyHash, std::equal_to<>> accountsByKey;
+    std::map<std::string, std::size_t, std::less<>> accountsByKey;
 };
 
 /// \return the id under which this system keeps a batch: the id that the client chose, qualified by
--- a/packages/core/src/accounts/client_accounts.cpp
+++ b/packages/core/src/accounts/client_accounts.cpp
@@ -67,7 +67,7 @@
 
 } // namespace
 
-std::error_code make_error_code(AccountErrc error)
+std::error_code make_error_code(AccountErrc error) noexcept
 {
     static const AccountCategory category;
     return {static_cast<int>(error), category};
