--- a/packages/core/tests/leader/unit-leader_property.cpp
+++ b/packages/core/tests/leader/unit-leader_property.cpp
@@ -223,6 +223,7 @@
 {
     rc::check([](const std::vector<std::uint16_t> &encoded) {
         std::vector<ScheduleStep> schedule;
+        schedule.reserve(encoded.size());
         for (const std::uint16_t step : encoded)
             schedule.push_back(makeStep(step));
         const std::vector<ProviderCall> calls = play(schedule);
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -245,11 +245,12 @@
                        const std::error_code &error)
     {
         this->parts.metrics.count("rows_unreadable");
-        if (table == core::FleetTable::Routing)
-            this->parts.logger.write("row_unreadable", field("table", row.name.table),
-                                     field("key", row.name.key),
-                                     field("version", static_cast<std::uint64_t>(row.version)),
-                                     field("error", error.message()));
+        if (table != core::FleetTable::Routing)
+            return;
+        this->parts.logger.write("row_unreadable", field("table", row.name.table),
+                                 field("key", row.name.key),
+                                 field("version", static_cast<std::uint64_t>(row.version)),
+                                 field("error", error.message()));
     }
 
     void perform(core::WriteHeartbeat &&write)
