A connection that is closed for its unread response ends its request

Cause: the close left the request pending, so its target went on, and later parts gathered on the closed connection and counted again. Found in review; ruled out: underflow of the sums, iteration over the set. Change: closing drops what is queued, and the request ends as that of a client that has disconnected.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -195,17 +195,13 @@
             this->stream.cancel();
     }
 
-    // Closes the connection of a client that does not read. What is being written is freed when its
-    // operation ends.
+    // Closes the connection of a client that does not read its response.
     void giveUpUnread()
     {
-        this->releaseUnread(this->unreadBytes);
-        const std::size_t written = this->parts.empty() ? 0 : 1;
-        this->parts.erase(this->parts.begin() + static_cast<std::ptrdiff_t>(written),
-                          this->parts.end());
-        if (written > 0)
-            this->parts.front().body.clear();
-        this->breakOff();
+        const core::ReplyToken token = this->currentToken;
+        if (this->server.pendingSessions.count(token) == 0)
+            return this->breakOff();
+        this->onClientDisconnected(token);
     }
 
     void breakOff()
@@ -216,6 +212,8 @@
 
     void writePart(ServerResponse &&response)
     {
+        if (this->isClosed)
+            return;
         this->partsBegun = true;
         this->holdUnread(response.body.size());
         this->parts.push_back(std::move(response));
@@ -306,6 +304,8 @@
     {
         if (error)
             return this->close();
+        if (this->isClosed)
+            return;
         const bool isLast = this->parts.front().part == ResponsePart::Last;
         this->releaseUnread(this->parts.front().body.size());
         this->parts.pop_front();
@@ -396,7 +396,8 @@
         this->server.pendingSessions.erase(token);
         this->releasePending();
         this->close();
-        this->server.disconnectHandler(token);
+        if (this->server.disconnectHandler)
+            this->server.disconnectHandler(token);
     }
 
     void dispatchRequest()
@@ -461,6 +462,9 @@
 
     void close()
     {
+        this->isClosed = true;
+        this->releaseUnread(this->unreadBytes);
+        this->parts.clear();
         beast::error_code ignored;
         this->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
         this->stream.close();
@@ -481,6 +485,7 @@
     bool partsBegun = false; // The first part of the pending response was accepted.
     bool keepAlive = false;
     bool isIdle = false; // No byte of a request has been read.
+    bool isClosed = false; // What is queued is dropped.
 };
 
 void HttpServer::Implementation::accept()
@@ -564,7 +569,9 @@
         if (largest == this->sessions.end() || (*largest)->heldBytes() == 0)
             return;
         ++this->memoryRefusals;
-        (*largest)->giveUpUnread();
+        // Giving up may drop the last reference to the session.
+        const std::shared_ptr<Session> session = (*largest)->shared_from_this();
+        session->giveUpUnread();
     }
 }
 
