After a suspension ownership is checked behind the next accepted heartbeat

Cause: the check counted from the suspension, so that it could trust a heartbeat from before it. Change: the next accepted heartbeat counts as one behind a gap.

--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -170,8 +170,9 @@
 
     void operator()(const MachineSuspended &)
     {
-        // The monotonic clock does not show how long the gap is.
-        this->state.takeoverCheckAt = this->now + this->state.settings.takeoverCheckDelay;
+        // The monotonic clock does not show how long the gap is, so any time before it counts.
+        this->state.acceptedHeartbeatSentAt = Time{};
+        this->state.takeoverCheckAt.reset();
         this->state.ownershipValidUntil = {};
         this->state.published.targetsReadAt.reset();
         this->state.published.routingReadAt.reset();
