--- a/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
@@ -86,6 +86,7 @@
     TargetOrderSettings settings;
     std::map<NodeId, ReceivedDemand> demands;
     std::map<ServiceName, std::deque<DemandSample>> samples;
+    std::map<ServiceName, Time> observedSince; ///< The first sample of this node's turn.
     std::map<TargetGroup, GroupOrder> groups;
     Time nextPlanAt{};
 };
--- a/packages/core/src/accounts/authorization.cpp
+++ b/packages/core/src/accounts/authorization.cpp
@@ -13,7 +13,8 @@
     const AccountName *account = key ? accounts->find(*key) : nullptr;
     if (account != nullptr)
         return {AccessVerdict::Granted, *account, true};
-    if (route != nullptr && route->isPublic)
+    // A batch belongs to an account, whatever its route says.
+    if (route != nullptr && route->isPublic && route->kind != RouteKind::Batch)
         return {AccessVerdict::Granted, std::nullopt, true};
     const bool isOutdated =
             !directory->routingReadAt || now - *directory->routingReadAt > maxTableAge;
--- a/packages/core/src/batch/batch_runs.cpp
+++ b/packages/core/src/batch/batch_runs.cpp
@@ -82,10 +82,13 @@
     return waiting;
 }
 
-// Returns the account that targets are told, if the routing table has accounts.
+// Returns the account that targets are told, if the routing table has accounts. It is empty for a
+// batch from before the table had any.
 std::optional<AccountName> accountOfBatch(const BatchContext &context, const BatchId &batch)
 {
-    return context.state.directory->routing->accounts ? accountOf(batch) : std::nullopt;
+    if (!context.state.directory->routing->accounts)
+        return std::nullopt;
+    return accountOf(batch).value_or(AccountName{});
 }
 
 void startRun(BatchContext &context, OwnedBatch &batch, std::uint32_t index,
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -404,8 +404,8 @@
             return this->refuse(position, EntryVerdict::NoRoute, status::notFound);
         // The table has changed since the request was authorized; the client's next try is
         // authorized by the new one.
-        const bool needsAccount = routing.accounts && !route->isPublic && !entry.scoreRequest;
-        if (needsAccount && !entry.call->account)
+        const bool lacksAccount = routing.accounts && !entry.scoreRequest && !entry.call->account;
+        if (lacksAccount && (!route->isPublic || !entry.call->credentials.empty()))
             return this->refuse(position, EntryVerdict::AccountUnknown, status::unavailable);
         entry.kind = route->kind;
         entry.resumable = route->kind == RouteKind::Stream && route->resumable;
--- a/packages/core/src/leader/target_orders.cpp
+++ b/packages/core/src/leader/target_orders.cpp
@@ -76,8 +76,12 @@
                                                 bool isReclaimable, Time now)
 {
     std::map<std::string, std::uint32_t> placed;
-    for (const auto &[dataCentre, present] : targets.dataCentres)
-        placed[dataCentre] = 0;
+    for (const auto &[dataCentre, present] : targets.dataCentres) {
+        const std::uint32_t min = service.scaling->minTargets;
+        const std::uint32_t missing = min > present.reserved ? min - present.reserved : 0;
+        placed[dataCentre] = missing;
+        count -= std::min(count, missing);
+    }
     for (; count > 0; --count) {
         std::map<std::string, std::uint32_t>::iterator best = placed.end();
         double bestCost = 0;
@@ -141,9 +145,11 @@
                                            FencingToken fence, Time now)
 {
     std::vector<OrderTargets> planned;
-    if (now < orders.nextPlanAt || !directory.routing || !directory.targetsKnown)
+    if (now < orders.nextPlanAt)
         return planned;
     orders.nextPlanAt = now + orders.settings.planPeriod;
+    if (!directory.routing || !directory.targetsKnown)
+        return planned;
     std::erase_if(orders.demands, [&](const auto &entry) {
         return now - entry.second.receivedAt > orders.settings.demandValidity;
     });
@@ -151,6 +157,9 @@
         if (!service.scaling)
             continue;
         const std::uint32_t peak = recordSample(orders, service.name, now);
+        const Time observedSince =
+                orders.observedSince.try_emplace(service.name, now).first->second;
+        const bool isNewTurn = now - observedSince < orders.settings.stabilizationWindow;
         const ServiceTargets targets = countTargets(directory, service);
         constexpr std::uint32_t percent = 100;
         const std::uint32_t slots = targets.slots * percent;
@@ -174,8 +183,10 @@
                     isReclaimable ? present.reclaimable : present.reserved;
             const TargetGroup group{service.name, dataCentre, isReclaimable};
             std::uint32_t total = isReclaimable ? count : count + present.reserved;
-            // Targets that make up for others that cannot be had stay until the others serve.
-            if (isReclaimable && reclaimable < extra)
+            // A leader that has not seen a whole stabilization window does not know the demand of
+            // the last one. Targets that make up for others that cannot be had stay until the
+            // others serve.
+            if (isReclaimable && (isNewTurn || reclaimable < extra))
                 total = std::max(total, orderedCount(orders, group, presentCount));
             auto order = orderGroup(orders, service, group, total, presentCount, now);
             if (!order)
@@ -205,7 +216,7 @@
         return;
     case ProviderReply::Throttled:
     case ProviderReply::Unanswered:
-        // The number is sent again, whatever became of this call.
+        // Whatever became of this call, the next order is compared with the targets that serve.
         order.ordered.reset();
         order.retryAt = now + orders.settings.retryDelay;
         return;
@@ -216,6 +227,7 @@
 {
     orders.groups.clear();
     orders.samples.clear();
+    orders.observedSince.clear();
 }
 
 bool scalesTargets(const RoutingTable &routing)
--- a/packages/core/src/leader/usage_reporter.cpp
+++ b/packages/core/src/leader/usage_reporter.cpp
@@ -153,8 +153,9 @@
 std::optional<Time> dueAt(const UsageReporter &reporter, Time now, WallTime wallNow)
 {
     const UsageReporterSettings &settings = reporter.settings;
-    const UsageWindow current = std::max(windowAt(wallNow - settings.decideDelay, settings.window),
-                                         reporter.nextWindow);
+    const UsageWindow current = reporter.nextWindow != UsageWindow{}
+                                        ? reporter.nextWindow
+                                        : windowAt(wallNow - settings.decideDelay, settings.window);
     Time due = now
                + std::max(endOf(current, settings.window) + settings.decideDelay - wallNow,
                           Duration{1});
--- a/packages/core/tests/accounts/unit-client_accounts.cpp
+++ b/packages/core/tests/accounts/unit-client_accounts.cpp
@@ -76,6 +76,9 @@
     CHECK(access.verdict == AccessVerdict::Granted);
     CHECK_FALSE(access.account.has_value());
     CHECK(access.usesAccounts);
+    // A batch without an account could take the name of one with an account.
+    route.kind = RouteKind::Batch;
+    CHECK(authorize(&directory, &route, std::nullopt, start).verdict == AccessVerdict::UnknownKey);
 }
 
 // Guards against a final refusal of a new key by a node that has missed the table which adds it.
--- a/packages/core/tests/entry/unit-entry_accounts.cpp
+++ b/packages/core/tests/entry/unit-entry_accounts.cpp
@@ -49,6 +49,26 @@
     CHECK(harness.find<AnswerEntryCall>()->verdict == EntryVerdict::AccountUnknown);
 }
 
+// Guards against credentials that are forwarded since the table had no accounts a moment before.
+TEST_CASE("a request on a public route that was decoded with its credentials is not sent")
+{
+    AccountHarness harness;
+    auto directory = std::make_shared<Directory>(*makeDirectoryWithAccounts());
+    auto routing = std::make_shared<RoutingTable>(*directory->routing);
+    for (Route &route : routing->routes)
+        route.isPublic = true;
+    directory->routing = routing;
+    harness.send(EntryDirectoryChanged{directory});
+    harness.callAs(std::nullopt);
+    CHECK(harness.find<SendAttempt>() != nullptr);
+    auto call = std::make_shared<EntryCall>();
+    call->host = "host";
+    call->target = "/safe/x";
+    call->credentials = "Bearer k";
+    harness.send(EntryCallReceived{ReplyToken{2}, call});
+    CHECK(harness.find<SendAttempt>() == nullptr);
+}
+
 TEST_CASE("a request of an account is counted once, from when it was sent")
 {
     AccountHarness harness;
--- a/packages/core/tests/leader/unit-target_orders.cpp
+++ b/packages/core/tests/leader/unit-target_orders.cpp
@@ -172,6 +172,29 @@
     CHECK(provider.calls == calls);
 }
 
+// Guards against a restarted leader that orders all targets away before it has heard of any demand.
+TEST_CASE("a new leader keeps the targets until it has seen a whole stabilization window")
+{
+    Provider provider;
+    provider.run(10s, 150);
+    REQUIRE(provider.total() == 20);
+    abandonOrders(provider.orders);
+    provider.run(11s, 0);
+    CHECK(provider.total() == 20);
+    provider.run(12s, 0);
+    CHECK(provider.total() == 0);
+}
+
+// Guards against ticks without pause while the targets are not known.
+TEST_CASE("a plan is due once in a period, also while the targets are unknown")
+{
+    Provider provider;
+    provider.directory.targetsKnown = false;
+    CHECK(planTargetOrders(provider.orders, provider.directory, FencingToken{3}, provider.now)
+                  .empty());
+    CHECK(provider.orders.nextPlanAt > provider.now);
+}
+
 TEST_CASE("demand that is not repeated ends")
 {
     Provider provider;
--- a/packages/entry/src/leader_duty.cpp
+++ b/packages/entry/src/leader_duty.cpp
@@ -15,8 +15,7 @@
 
 using runtime::field;
 
-// Shorter than the pause after a call without an answer may grow, so that a report is tried several
-// times before it is due.
+// A tenth of the usual time for a report, so that a call without an answer leaves time for others.
 constexpr core::Duration providerTimeout = std::chrono::milliseconds(1000);
 constexpr core::Duration connectTimeout = std::chrono::milliseconds(400);
 
@@ -86,7 +85,7 @@
     void perform(core::DecideUsageReport &&action)
     {
         this->parts.logger.write(
-                "usage_report_decided", field("window", core::number(action.window)),
+                "usage_report_summed", field("window", core::number(action.window)),
                 field("accounts", action.counts.size()), field("requests", totalOf(action.counts)));
         decideUsageReport(this->parts, action);
     }
--- a/packages/entry/src/usage_store.cpp
+++ b/packages/entry/src/usage_store.cpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace geraniumpulley::entry {
