--- a/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
@@ -54,7 +54,7 @@
     std::uint32_t count = 0;
     FencingToken fence{};
     // For the log.
-    std::uint32_t demand = 0; ///< Sum of the peaks of all owners in the stabilization window.
+    std::uint32_t demand = 0; ///< Items at the peak of the stabilization window.
     std::uint32_t present = 0; ///< Targets of the group that serve.
 };
 
@@ -74,7 +74,7 @@
     Time receivedAt{};
 };
 
-/// The demand of one owner for a service at one time.
+/// The demand of a service at one time.
 struct DemandSample
 {
     Time at{};
@@ -85,7 +85,7 @@
 {
     TargetOrderSettings settings;
     std::map<NodeId, ReceivedDemand> demands;
-    std::map<ServiceName, std::map<NodeId, std::deque<DemandSample>>> samples; ///< By owner.
+    std::map<ServiceName, std::deque<DemandSample>> samples;
     std::map<ServiceName, Time> observedSince; ///< The first sample of this node's turn.
     std::map<TargetGroup, GroupOrder> groups;
     Time nextPlanAt{};
--- a/packages/core/src/leader/target_orders.cpp
+++ b/packages/core/src/leader/target_orders.cpp
@@ -17,7 +17,6 @@
 {
     std::map<std::string, DataCentreTargets> dataCentres;
     std::uint32_t slots = 1; ///< Of the largest target.
-    bool hasTargets = false;
 };
 
 ServiceTargets countTargets(const Directory &directory, const RoutedService &service)
@@ -29,33 +28,32 @@
         DataCentreTargets &targets = counted.dataCentres[target->target.dataCentre];
         ++(target->isReclaimable ? targets.reclaimable : targets.reserved);
         counted.slots = std::max(counted.slots, target->slots);
-        counted.hasTargets = true;
     }
     return counted;
 }
 
-// Returns the sum of the highest demands of each owner in the stabilization window. An engine
-// serves one model, and the batches of a model have one owner, so the peaks of several owners need
-// their targets side by side, also where they do not coincide.
-std::uint32_t recordSamples(TargetOrders &orders, const ServiceName &service, Time now)
+std::uint32_t currentDemand(const TargetOrders &orders, const ServiceName &service)
 {
-    std::map<NodeId, std::deque<DemandSample>> &samplesByOwner = orders.samples[service];
+    std::uint32_t items = 0;
     for (const auto &[node, demand] : orders.demands) {
         const auto found = demand.report.services.find(service);
         if (found != demand.report.services.end())
-            samplesByOwner[node].push_back({now, found->second.running + found->second.waiting});
+            items += found->second.running + found->second.waiting;
     }
-    std::uint32_t sum = 0;
-    for (auto &[node, samples] : samplesByOwner) {
-        while (!samples.empty() && now - samples.front().at > orders.settings.stabilizationWindow)
-            samples.pop_front();
-        std::uint32_t peak = 0;
-        for (const DemandSample &sample : samples)
-            peak = std::max(peak, sample.items);
-        sum += peak;
-    }
-    std::erase_if(samplesByOwner, [](const auto &entry) { return entry.second.empty(); });
-    return sum;
+    return items;
+}
+
+// Returns the highest demand of the stabilization window.
+std::uint32_t recordSample(TargetOrders &orders, const ServiceName &service, Time now)
+{
+    std::deque<DemandSample> &samples = orders.samples[service];
+    samples.push_back({now, currentDemand(orders, service)});
+    while (now - samples.front().at > orders.settings.stabilizationWindow)
+        samples.pop_front();
+    std::uint32_t peak = 0;
+    for (const DemandSample &sample : samples)
+        peak = std::max(peak, sample.items);
+    return peak;
 }
 
 double priceOf(const ScalingLimits &scaling, const std::string &dataCentre)
@@ -79,8 +77,7 @@
 {
     std::map<std::string, std::uint32_t> placed;
     for (const auto &[dataCentre, present] : targets.dataCentres) {
-        // Before the first targets have registered, none are known to be missing.
-        const std::uint32_t min = targets.hasTargets ? service.scaling->minTargets : 0;
+        const std::uint32_t min = service.scaling->minTargets;
         const std::uint32_t missing = min > present.reserved ? min - present.reserved : 0;
         placed[dataCentre] = missing;
         count -= std::min(count, missing);
@@ -159,7 +156,7 @@
     for (const RoutedService &service : directory.routing->services) {
         if (!service.scaling)
             continue;
-        const std::uint32_t peak = recordSamples(orders, service.name, now);
+        const std::uint32_t peak = recordSample(orders, service.name, now);
         const Time observedSince =
                 orders.observedSince.try_emplace(service.name, now).first->second;
         const bool isNewTurn = now - observedSince < orders.settings.stabilizationWindow;
