Only the leader's calls wait for the check behind a gap between heartbeats

Cause: the check also held up weight orders and the answers of owners. Change: the check ends the leader's turn, not the proof of ownership. Open, as in: behind a gap a node may order weights once more before it reads the new lease.

--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -45,8 +45,10 @@
 
 Leadership leadershipOf(const FleetState &state)
 {
-    return {state.lease.holder, holdsLease(state) && !state.draining,
-            static_cast<FencingToken>(state.lease.version), state.ordersAllowedFrom};
+    // Behind a gap between heartbeats another node may hold the lease until a read shows otherwise.
+    const bool isHeldHere = holdsLease(state) && !state.draining && !state.takeoverCheckAt;
+    return {state.lease.holder, isHeldHere, static_cast<FencingToken>(state.lease.version),
+            state.ordersAllowedFrom};
 }
 
 // Keeps the object of the last snapshot if the value is the same.
@@ -80,8 +82,6 @@
         if (event.table == FleetTable::Batches && this->state.takeoverCheckAt
             && this->now >= *this->state.takeoverCheckAt) {
             this->state.takeoverCheckAt.reset();
-            this->updateOwnership();
-            this->state.presenceChanged = true;
         }
     }
 
@@ -121,16 +121,7 @@
         if (hasGap)
             state.takeoverCheckAt = this->now + state.settings.takeoverCheckDelay;
         state.acceptedHeartbeatSentAt = event.sentAt;
-        this->updateOwnership();
-    }
-
-    void updateOwnership()
-    {
-        FleetState &state = this->state;
-        state.ownershipValidUntil =
-                state.takeoverCheckAt || !state.acceptedHeartbeatSentAt
-                        ? Time{}
-                        : *state.acceptedHeartbeatSentAt + state.settings.ownershipValidity;
+        state.ownershipValidUntil = event.sentAt + state.settings.ownershipValidity;
     }
 
     void operator()(const WeightOrderLeaseWriteCompleted &event)
