--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -219,7 +219,7 @@
     /// When the last heartbeat that the store has accepted was sent.
     std::optional<Time> acceptedHeartbeatSentAt;
     /// Set after a gap between heartbeats in which other nodes may have taken over: from this time
-    /// on a read of the batches table shows whether one has. Until then nothing proves ownership.
+    /// on a read of the batches table shows whether one has. Until then this node is no leader.
     std::optional<Time> takeoverCheckAt;
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRowVersion{}; ///< The version of the row that `routing` was read from.
