--- a/packages/core/include/geraniumpulley/core/leader/leader.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/leader.hpp
@@ -36,7 +36,6 @@
 struct UsageCountsStored
 {
     UsageWindow window{};
-    std::uint64_t revision = 0;
     bool succeeded = false;
 };
 /// A `FindUsageReport` has completed.
--- a/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
@@ -33,7 +33,8 @@
     Duration retryDelay = std::chrono::milliseconds(600); ///< After a call without an answer.
     /// Added to the boot time of targets before missing ones are ordered again.
     Duration bootMargin = std::chrono::seconds(2);
-    /// Targets of a data centre that count as much as its price when orders are spread.
+    /// Orders go to the data centre with the lowest price times (targets placed there + spread):
+    /// the lower, the more evenly they are distributed.
     std::uint32_t spread = 4;
 };
 
--- a/packages/core/include/geraniumpulley/core/leader/usage_counter.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/usage_counter.hpp
@@ -2,7 +2,6 @@
 
 #include <geraniumpulley/core/leader/usage_window.hpp>
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -27,8 +26,6 @@
 struct CountedWindow
 {
     UsageCounts counts;
-    std::uint64_t revision = 0; ///< Rises with each count.
-    std::uint64_t storedRevision = 0; ///< The revision that the store has.
     bool writeInFlight = false;
     std::optional<Time> writeAt; ///< When the next write is due; unset if all is stored.
 };
@@ -43,7 +40,6 @@
 struct StoreUsageCounts
 {
     UsageWindow window{};
-    std::uint64_t revision = 0;
     UsageCounts counts;
 };
 
@@ -55,8 +51,7 @@
 /// no report needs any more.
 std::vector<StoreUsageCounts> dueUsageWrites(UsageCounter &counter, Time now, WallTime wallNow);
 
-void recordUsageWrite(UsageCounter &counter, UsageWindow window, std::uint64_t revision,
-                      bool succeeded, Time now);
+void recordUsageWrite(UsageCounter &counter, UsageWindow window, bool succeeded, Time now);
 
 std::optional<Time> dueAt(const UsageCounter &counter);
 
--- a/packages/core/src/leader/leader.cpp
+++ b/packages/core/src/leader/leader.cpp
@@ -48,8 +48,7 @@
 
     void operator()(const UsageCountsStored &event)
     {
-        recordUsageWrite(this->state.counter, event.window, event.revision, event.succeeded,
-                         this->now);
+        recordUsageWrite(this->state.counter, event.window, event.succeeded, this->now);
     }
 
     void operator()(const UsageReportFound &event)
--- a/packages/core/src/leader/usage_counter.cpp
+++ b/packages/core/src/leader/usage_counter.cpp
@@ -11,7 +11,6 @@
     const UsageWindow window = windowAt(begunAt, settings.window);
     CountedWindow &counted = counter.windows[window];
     ++counted.counts[account];
-    ++counted.revision;
     const Duration untilEnd = std::max(endOf(window, settings.window) - wallNow, Duration{});
     const Time writeAt = now + std::min(settings.writeDelay, untilEnd + settings.closeDelay);
     counted.writeAt = std::min(counted.writeAt.value_or(writeAt), writeAt);
@@ -28,22 +27,19 @@
             continue;
         counted.writeInFlight = true;
         counted.writeAt.reset();
-        writes.push_back({window, counted.revision, counted.counts});
+        writes.push_back({window, counted.counts});
     }
     return writes;
 }
 
-void recordUsageWrite(UsageCounter &counter, UsageWindow window, std::uint64_t revision,
-                      bool succeeded, Time now)
+void recordUsageWrite(UsageCounter &counter, UsageWindow window, bool succeeded, Time now)
 {
     const auto position = counter.windows.find(window);
     if (position == counter.windows.end())
         return;
     CountedWindow &counted = position->second;
     counted.writeInFlight = false;
-    if (succeeded)
-        counted.storedRevision = std::max(counted.storedRevision, revision);
-    else
+    if (!succeeded)
         counted.writeAt = now + counter.settings.retryDelay;
 }
 
--- a/packages/core/tests/leader/unit-leader.cpp
+++ b/packages/core/tests/leader/unit-leader.cpp
@@ -55,8 +55,7 @@
     {
         if (!this->platform.isStoreAway)
             this->platform.counts[write.window] = write.counts;
-        events.emplace_back(
-                UsageCountsStored{write.window, write.revision, !this->platform.isStoreAway});
+        events.emplace_back(UsageCountsStored{write.window, !this->platform.isStoreAway});
     }
     void perform(const FindUsageReport &find, std::deque<LeaderEvent> &events)
     {
--- a/packages/core/tests/leader/unit-usage_counter.cpp
+++ b/packages/core/tests/leader/unit-usage_counter.cpp
@@ -57,7 +57,7 @@
     REQUIRE(writes.size() == 1);
     CHECK(writes[0].counts == UsageCounts{{{"a"}, 1}, {{"b"}, 1}});
     CHECK(fixture.due().empty());
-    recordUsageWrite(fixture.counter, firstWindow, writes[0].revision, true, fixture.now);
+    recordUsageWrite(fixture.counter, firstWindow, true, fixture.now);
     CHECK_FALSE(dueAt(fixture.counter).has_value());
 
     fixture.now = start + 4500ms;
@@ -66,7 +66,7 @@
     // A request that began in the window and is answered after its end.
     fixture.now = start + 5300ms;
     REQUIRE(fixture.due().size() == 1);
-    recordUsageWrite(fixture.counter, firstWindow, 3, true, fixture.now);
+    recordUsageWrite(fixture.counter, firstWindow, true, fixture.now);
     fixture.record("a", 400ms);
     CHECK(dueAt(fixture.counter) == fixture.now + 200ms);
 }
@@ -78,12 +78,12 @@
     fixture.now += 2s;
     REQUIRE(fixture.due().size() == 1);
     fixture.record("a");
-    recordUsageWrite(fixture.counter, firstWindow, 1, false, fixture.now);
+    recordUsageWrite(fixture.counter, firstWindow, false, fixture.now);
     fixture.now += 2s;
     const auto writes = fixture.due();
     REQUIRE(writes.size() == 1);
     CHECK(writes[0].counts == UsageCounts{{{"a"}, 2}});
-    recordUsageWrite(fixture.counter, firstWindow, 2, false, fixture.now);
+    recordUsageWrite(fixture.counter, firstWindow, false, fixture.now);
     fixture.now += 40s;
     CHECK(fixture.due().empty());
     CHECK(fixture.counter.windows.empty());
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -71,9 +71,9 @@
 ///
 /// A decision thread never blocks on the ring of a part, while a part may block on the ring of a
 /// decision thread, so rings cannot deadlock. The call duty may block on the rings of the batch
-/// and fleet duties, which block on no other ring. When a decision ring is full, client requests
-/// are rejected as not run, ticks are skipped, and results of requests wait, because they must not
-/// be lost.
+/// and fleet duties, which block on no other ring, and only tries to push to that of the leader
+/// duty. When a decision ring is full, client requests are rejected as not run, ticks are skipped,
+/// and results of requests wait, because they must not be lost.
 struct Parts
 {
     runtime::Logger logger;
--- a/packages/entry/src/usage_store.cpp
+++ b/packages/entry/src/usage_store.cpp
@@ -68,13 +68,12 @@
             {{usageTable, countPartition(hash % countPartitions),
               fmt::format("{}/{}/{}", windowKey(action.window), self.value, incarnation)},
              codec::encodeUsageCounts(action.counts)});
-    parts.storeLink->send(
-            {platform::encodeTransaction(transaction), writeTimeout,
-             [&parts, window = action.window, revision = action.revision](StoreReply &&reply) {
-                 const bool succeeded = reply.outcome == codec::RelayOutcome::Answered
-                                        && reply.status == core::status::ok;
-                 parts.leader.deliver(core::UsageCountsStored{window, revision, succeeded});
-             }});
+    parts.storeLink->send({platform::encodeTransaction(transaction), writeTimeout,
+                           [&parts, window = action.window](StoreReply &&reply) {
+                               const bool succeeded = reply.outcome == codec::RelayOutcome::Answered
+                                                      && reply.status == core::status::ok;
+                               parts.leader.deliver(core::UsageCountsStored{window, succeeded});
+                           }});
 }
 
 void findUsageReport(Parts &parts, const core::FindUsageReport &action)
