--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -232,6 +232,8 @@
     BatchMap batches;
     std::map<std::string, CrashRecord> crashRecords; ///< By the key of their row.
     WeightOrderLease lease;
+    /// When the last read of the batches table that was answered was sent.
+    std::optional<Time> leaseReadSentAt;
     Time leaseRetryAt{}; ///< The earliest time of the next write of the lease.
     Time ordersAllowedFrom{}; ///< The earliest time of the first order under a new lease.
     WeightOrders weightOrders;
@@ -270,6 +272,9 @@
 /// and one of the batches the number of batches.
 std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now);
 
+/// \return whether this node may send weight orders now.
+bool canSendOrders(const FleetState &state, Time now);
+
 /// \return when the next tick is due; directly after a tick this is later than `now`.
 std::optional<Time> dueAt(const FleetState &state, Time now);
 
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -37,12 +37,6 @@
            && lease.incarnation == state.settings.self.incarnation;
 }
 
-bool canSendOrders(const FleetState &state, Time now)
-{
-    return holdsLease(state) && !state.draining && state.reachesTargets
-           && now >= state.ordersAllowedFrom && now < state.ownershipValidUntil;
-}
-
 Leadership leadershipOf(const FleetState &state)
 {
     // Behind a gap between heartbeats another node may hold the lease until a read shows otherwise.
@@ -71,6 +65,8 @@
                                                        event.upTo, this->now);
         if (event.table == FleetTable::Routing)
             this->state.published.routingReadAt = this->now;
+        if (event.table == FleetTable::Batches)
+            this->state.leaseReadSentAt = this->follower(event.table).readStartedAt;
         if (event.table == FleetTable::Targets) {
             this->state.published.targetsReadAt = this->now;
             if (failedFor >= this->state.settings.minLapseOutage)
@@ -395,6 +391,12 @@
     return state;
 }
 
+bool canSendOrders(const FleetState &state, Time now)
+{
+    return holdsLease(state) && !state.draining && state.reachesTargets
+           && now >= state.ordersAllowedFrom && now < state.ownershipValidUntil;
+}
+
 std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now)
 {
     Handler handler{state, now, {}};
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -98,6 +98,16 @@
     return key;
 }
 
+// What a node believes about the lease on weight orders.
+struct LeaseBelief
+{
+    core::NodeId holder;
+    core::RowVersion version{};
+    bool canSendOrders = false;
+
+    bool operator==(const LeaseBelief &) const = default;
+};
+
 struct FleetDuty
 {
     Parts &parts;
@@ -105,12 +115,36 @@
     TickTimer wakeup;
     core::Duration totalSuspended{}; // As of the last event.
     core::ConfigurationVersion appliedRouting{};
+    LeaseBelief loggedBelief{};
     std::unique_ptr<TargetRowCache> targetRows = std::make_unique<TargetRowCache>();
 
     void handle(const core::FleetEvent &event)
     {
         this->detectSuspension();
         decideAndArm<core::FleetTick>(*this, event);
+        this->logLeaseBelief();
+    }
+
+    void logLeaseBelief()
+    {
+        const core::Time now = runtime::now();
+        const core::WeightOrderLease &lease = this->state.lease;
+        const LeaseBelief belief{lease.holder, lease.version,
+                                 core::canSendOrders(this->state, now)};
+        if (std::exchange(this->loggedBelief, belief) == belief)
+            return;
+        this->parts.logger.write(
+                "weight_order_lease_known", field("holder", belief.holder.value),
+                field("fence", static_cast<std::uint64_t>(belief.version)),
+                field("can_order", belief.canSendOrders),
+                field("read_age_ms", ageOf(this->state.leaseReadSentAt, now)),
+                field("heartbeat_age_ms", ageOf(this->state.acceptedHeartbeatSentAt, now)));
+    }
+
+    // In milliseconds; -1 if unknown.
+    static std::int64_t ageOf(const std::optional<core::Time> &time, core::Time now)
+    {
+        return time ? (now - *time).count() / 1000 : -1;
     }
 
     std::optional<core::Time> due() const { return core::dueAt(this->state, runtime::now()); }
@@ -309,6 +343,12 @@
 
     void perform(core::SendWeightOrder &&order)
     {
+        const core::Time now = runtime::now();
+        this->parts.logger.write(
+                "weight_order_sent", field("target", order.target.id.value),
+                field("fence", core::number(order.fence)),
+                field("read_age_ms", ageOf(this->state.leaseReadSentAt, now)),
+                field("heartbeat_age_ms", ageOf(this->state.acceptedHeartbeatSentAt, now)));
         net::HttpRequest request = platform::encodeWeightOrder(order, this->state.settings.self.id);
         request.deadline = runtime::now() + engineTimeout;
         request.done = [this, order](net::HttpResult &&result) {
