A request whose deadline has passed before it is written is not sent

Cause: HttpClient sets the deadline as the expiry of the connection's stream, but a write that can be performed at once is performed before the expired timer is served. A request that waited in the client's ring behind a slow callback, or for its thread while the machine stood still, went out on a pooled connection after its deadline.

Change: the deadline is checked right before the write; such a request fails as NotSent, which is true.

Test before the change: unit-connection_reuse, "a request that waits in the ring past its deadline is not sent on a pooled connection": CHECK( done.get_future().get().failure == SendFailure::NotSent ), values: CHECK( 0 == 1 ).

--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -61,6 +61,8 @@
     /// Sent as `idHeader`. A response with another id is `AnswerLost`, and so is one without an id
     /// on a reused connection.
     std::string requestId;
+    /// When the response must be complete. A request that has not been written by then, because it
+    /// waited in the ring or for its connection, fails as `NotSent`.
     core::Time deadline{};
     /// Called exactly once, on the client's thread, unless the client is stopped first. May block
     /// on a ring that its duty drains.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -176,8 +176,11 @@
         this->write();
     }
 
+    // The timer of the connection does not prevent a write that can be performed at once.
     void write()
     {
+        if (runtime::now() >= this->request.deadline)
+            return this->fail(SendFailure::NotSent);
         this->writeStarted = true;
         this->message.version(11);
         this->message.method_string(this->request.method);
--- a/packages/net/tests/unit-connection_reuse.cpp
+++ b/packages/net/tests/unit-connection_reuse.cpp
@@ -116,6 +116,36 @@
     client.reset();
 }
 
+// Guards against requests that wait for the client's thread, and reach the server after the time
+// for which they were decided.
+TEST_CASE("a request that waits in the ring past its deadline is not sent on a pooled connection")
+{
+    ScriptedServer server({makeResponse("a"), makeResponse("b")});
+    auto client = std::move(net::HttpClient::create({}).value());
+    std::promise<void> occupied;
+    std::promise<void> release;
+    net::HttpRequest first = makeRequest(server.address(), "a");
+    first.done = [&](net::HttpResult &&) {
+        occupied.set_value();
+        release.get_future().wait();
+    };
+    client->send(std::move(first));
+    occupied.get_future().wait();
+    std::promise<net::HttpResult> done;
+    net::HttpRequest late = makeRequest(server.address(), "b");
+    late.deadline = runtime::now() + 1ms;
+    late.done = [&done](net::HttpResult &&result) { done.set_value(std::move(result)); };
+    const core::Time deadline = late.deadline;
+    client->send(std::move(late));
+    while (runtime::now() < deadline)
+        std::this_thread::yield();
+    release.set_value();
+    CHECK(done.get_future().get().failure == SendFailure::NotSent);
+    // The server still has the second response, and the connection was not used for it.
+    CHECK(sendAndReceive(*client, makeRequest(server.address(), "b")).body == "ok");
+    client.reset();
+}
+
 TEST_CASE("a connection with bytes after the response is not reused")
 {
     ScriptedServer server({makeResponse("a", makeResponse("x")), makeResponse("b")});
