Leader: one right to act, proved by reads of the lease, for orders, reports and target orders

Cause: the right to order was "the lease as last read names this node, and a heartbeat was accepted lately". An accepted heartbeat says nothing about takeovers before it. A read of the lease that was sent into the cut holds the next one up, so the node went on for up to 2.3 s after the cut.

Ruled out: orders that waited (they arrived within 10 ms), a new holder that did not wait (each began 3.0 s after its takeover).

Change: core/fleet/leadership. proofOf(leadership, now) gives the right to act and its end; it rests on reads of the row of the lease alone, twice a second by the holder, counted from the time at which they were sent. It ends before a node that takes over may act. Orders, usage reports and target orders are made from the proof; its end is the deadline of their requests.

unit-fleet and unit-leader: the fixtures answer the check of the lease; no check is dropped. "ordersAllowedFrom" is now "leadership.actsFrom".

--- a/packages/core/include/geraniumpulley/core/fleet/directory.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/directory.hpp
@@ -2,9 +2,9 @@
 
 #include <geraniumpulley/core/batch/batch_head.hpp>
 #include <geraniumpulley/core/calls/crash_log.hpp>
-#include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/fleet/engine_assignments.hpp>
 #include <geraniumpulley/core/fleet/fleet_target.hpp>
+#include <geraniumpulley/core/fleet/leadership.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
 #include <geraniumpulley/core/fleet/routing_table.hpp>
 #include <geraniumpulley/core/identifier.hpp>
@@ -20,18 +20,6 @@
 /// The contents of the store's tables: routes, targets, weights and batches.
 namespace geraniumpulley::core {
 
-/// Which node is the leader, which alone orders weights and targets and reports usage.
-struct Leadership
-{
-    NodeId holder; ///< Empty if no node holds the lease.
-    bool isHeldHere = false; ///< Whether this node holds the lease.
-    FencingToken fence{}; ///< Rises with each holder.
-    /// If this node holds the lease, when it may act for the first time.
-    Time actsFrom{};
-
-    bool operator==(const Leadership &) const = default;
-};
-
 /// An immutable snapshot of the tables that the duties of one process share. A part that has not
 /// changed is the same object in the next snapshot.
 struct Directory
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/assignment_cache.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
+#include <geraniumpulley/core/fleet/leadership.hpp>
 #include <geraniumpulley/core/fleet/presence.hpp>
 #include <geraniumpulley/core/fleet/store_clock.hpp>
 #include <geraniumpulley/core/fleet/table_follower.hpp>
@@ -39,15 +39,6 @@
     WeightVersion version{};
 };
 
-/// The lease on weight orders: only its holder sends them. The version of its row is the fencing
-/// token of the orders.
-struct WeightOrderLease
-{
-    NodeId holder; ///< Empty if the last holder has released the lease.
-    std::uint64_t incarnation = 0;
-    RowVersion version{};
-};
-
 using FleetRecord = std::variant<std::monostate, std::shared_ptr<const RoutingTable>,
                                  DesiredModelWeights, std::shared_ptr<const FleetTarget>,
                                  NodeHeartbeat, BatchHead, WeightOrderLease, CrashRecord>;
@@ -122,10 +113,11 @@
 {
 };
 
-using FleetEvent = std::variant<TableReadCompleted, TableReadFailed, PeerTablesReceived,
-                                HeartbeatWriteCompleted, WeightOrderLeaseWriteCompleted,
-                                EngineStateReceived, WeightOrderReplyReceived, MachineSuspended,
-                                TargetLeavingStated, TargetReachChanged, FleetDraining, FleetTick>;
+using FleetEvent =
+        std::variant<TableReadCompleted, TableReadFailed, PeerTablesReceived,
+                     HeartbeatWriteCompleted, WeightOrderLeaseWriteCompleted, LeaseChecked,
+                     EngineStateReceived, WeightOrderReplyReceived, MachineSuspended,
+                     TargetLeavingStated, TargetReachChanged, FleetDraining, FleetTick>;
 
 // Actions
 
@@ -163,9 +155,9 @@
     bool contentChanged = false;
 };
 
-using FleetAction =
-        std::variant<ReadTable, FollowTable, RequestPeerTables, WriteHeartbeat,
-                     WriteWeightOrderLease, RequestEngineState, SendWeightOrder, PublishDirectory>;
+using FleetAction = std::variant<ReadTable, FollowTable, RequestPeerTables, WriteHeartbeat,
+                                 WriteWeightOrderLease, CheckLease, RequestEngineState,
+                                 SendWeightOrder, PublishDirectory>;
 
 struct FleetSettings
 {
@@ -173,18 +165,11 @@
     /// The CPU capacity in thousandths of a core; 0 if unknown.
     std::uint32_t capacityMillicores = 0;
     PresenceSettings presence;
-    /// How long a new lease holder waits before its first order: the orders of the last holder have
-    /// ended by then.
+    /// How long a new lease holder waits before it acts; the last holder has stopped by then.
     Duration leaseDuration = std::chrono::seconds(3);
     /// How long a heartbeat that the store has accepted proves this node's ownership: less than the
     /// heartbeat timeout, after which other nodes take over.
     Duration ownershipValidity = std::chrono::milliseconds(1400);
-    /// The longest time from a heartbeat until the store has accepted the next one in which no node
-    /// can take over: the heartbeat timeout less the delay with which other nodes read heartbeats.
-    Duration maxHeartbeatGap = std::chrono::milliseconds(1300);
-    /// How long after a longer gap the rows of the batches table are read that show whether a node
-    /// has taken over: all nodes have read the new heartbeat by then.
-    Duration takeoverCheckDelay = std::chrono::milliseconds(1000);
     /// How long the targets have to be unreadable, directly and through other nodes, to suspect an
     /// outage of the store in which rows lapse: longer than one read that times out, and shorter
     /// than the silence after which the row of a live target is removed.
@@ -216,11 +201,6 @@
     std::uint64_t heartbeatCounter = 0; ///< The counter in the last heartbeat of this node.
     Time nextHeartbeatAt{};
     Time ownershipValidUntil{};
-    /// When the last heartbeat that the store has accepted was sent.
-    std::optional<Time> acceptedHeartbeatSentAt;
-    /// Set after a gap between heartbeats in which other nodes may have taken over: from this time
-    /// on a read of the batches table shows whether one has. Until then this node is no leader.
-    std::optional<Time> takeoverCheckAt;
     std::shared_ptr<const RoutingTable> routing;
     RowVersion routingRowVersion{}; ///< The version of the row that `routing` was read from.
     std::map<TargetId, KnownTarget> targets;
@@ -231,11 +211,8 @@
     WeightMap desiredWeights;
     BatchMap batches;
     std::map<std::string, CrashRecord> crashRecords; ///< By the key of their row.
-    WeightOrderLease lease;
-    /// When the last read of the batches table that was answered was sent.
-    std::optional<Time> leaseReadSentAt;
+    LeadershipState leadership;
     Time leaseRetryAt{}; ///< The earliest time of the next write of the lease.
-    Time ordersAllowedFrom{}; ///< The earliest time of the first order under a new lease.
     WeightOrders weightOrders;
     AssignmentCache assignments; ///< Filled only while this node sends weight orders.
     /// The last snapshot; unchanged parts are shared with the next one.
@@ -272,8 +249,8 @@
 /// and one of the batches the number of batches.
 std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now);
 
-/// \return whether this node may send weight orders now.
-bool canSendOrders(const FleetState &state, Time now);
+/// \return the right of this node to send weight orders now, if it has it.
+std::optional<LeadershipProof> weightOrderProof(const FleetState &state, Time now);
 
 /// \return when the next tick is due; directly after a tick this is later than `now`.
 std::optional<Time> dueAt(const FleetState &state, Time now);
--- a/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/weight_orders.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/control/view.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
+#include <geraniumpulley/core/fleet/leadership.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/time.hpp>
 
@@ -44,7 +44,7 @@
     Target target;
     std::string model;
     WeightVersion version{};
-    FencingToken fence{};
+    LeadershipProof proof;
     /// The engine refuses the order if it has accepted a different number of orders.
     std::uint64_t expectedAcceptedOrders = 0;
 };
@@ -98,9 +98,11 @@
 
 /// Handles the state that an engine returned, or its failure to answer.
 /// \return the order to send to the engine, if it needs one.
-std::optional<SendWeightOrder>
-onEngineStateReceived(WeightOrders &orders, const Directory &directory, const TargetId &target,
-                      const std::optional<EngineState> &state, FencingToken fence, Time now);
+std::optional<SendWeightOrder> onEngineStateReceived(WeightOrders &orders,
+                                                     const Directory &directory,
+                                                     const TargetId &target,
+                                                     const std::optional<EngineState> &state,
+                                                     const LeadershipProof &proof, Time now);
 
 /// Handles the reply to an order.
 void onWeightOrderReply(WeightOrders &orders, const TargetId &target, WeightOrderReply reply,
--- a/packages/core/include/geraniumpulley/core/leader/leader.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/leader.hpp
@@ -119,8 +119,8 @@
 LeaderState makeLeaderState(const LeaderSettings &settings);
 
 /// Handles one event.
-/// Invariant: calls to the provider are requested only while a recent heartbeat proves that this
-/// node holds the lease, and never under a superseded fencing token.
+/// Invariant: calls to the provider are requested only while a check of the lease proves that no
+/// other node acts as the leader, and never under a superseded fencing token.
 std::vector<LeaderAction> step(LeaderState &state, const LeaderEvent &event, Time now,
                                WallTime wallNow);
 
--- a/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/target_orders.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <geraniumpulley/core/control/lease.hpp>
 #include <geraniumpulley/core/fleet/directory.hpp>
 #include <geraniumpulley/core/leader/service_demand.hpp>
 #include <geraniumpulley/core/leader/usage_reporter.hpp>
@@ -53,7 +52,7 @@
 {
     TargetGroup group;
     std::uint32_t count = 0;
-    FencingToken fence{};
+    LeadershipProof proof;
     // For the log.
     std::uint32_t demand = 0; ///< Items at the peak of the stabilization window.
     std::uint32_t present = 0; ///< Targets of the group that serve.
@@ -97,7 +96,7 @@
 /// \return the orders that bring each service to the number of targets that its demand needs.
 /// Called while this node may act as the leader. Complexity: linear in targets.
 std::vector<OrderTargets> planTargetOrders(TargetOrders &orders, const Directory &directory,
-                                           FencingToken fence, Time now);
+                                           const LeadershipProof &proof, Time now);
 
 void onTargetsOrdered(TargetOrders &orders, const TargetGroup &group, ProviderReply reply,
                       Time now);
--- a/packages/core/include/geraniumpulley/core/leader/usage_reporter.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/usage_reporter.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <geraniumpulley/core/control/lease.hpp>
+#include <geraniumpulley/core/fleet/leadership.hpp>
 #include <geraniumpulley/core/leader/usage_window.hpp>
 #include <geraniumpulley/core/store_outcome.hpp>
 
@@ -73,7 +73,7 @@
 {
     UsageWindow window{};
     UsageCounts counts;
-    FencingToken fence{};
+    LeadershipProof proof;
 };
 /// Removes the rows of the windows before `before`.
 struct RemoveUsageRows
@@ -99,8 +99,8 @@
 };
 
 /// Starts and continues the reports that are due. Called while this node may act as the leader.
-std::vector<UsageAction> advanceReports(UsageReporter &reporter, FencingToken fence, Time now,
-                                        WallTime wallNow);
+std::vector<UsageAction> advanceReports(UsageReporter &reporter, const LeadershipProof &proof,
+                                        Time now, WallTime wallNow);
 
 /// Forgets all reports, since another node may go on with them.
 void abandonReports(UsageReporter &reporter);
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -30,19 +30,11 @@
                                                    std::chrono::milliseconds(1000),
                                                    std::chrono::milliseconds(2000)};
 
-bool holdsLease(const FleetState &state)
-{
-    const WeightOrderLease &lease = state.lease;
-    return lease.holder == state.settings.self.id
-           && lease.incarnation == state.settings.self.incarnation;
-}
-
 Leadership leadershipOf(const FleetState &state)
 {
-    // Behind a gap between heartbeats another node may hold the lease until a read shows otherwise.
-    const bool isHeldHere = holdsLease(state) && !state.draining && !state.takeoverCheckAt;
-    return {state.lease.holder, isHeldHere, static_cast<FencingToken>(state.lease.version),
-            state.ordersAllowedFrom};
+    Leadership leadership = leadershipOf(state.leadership);
+    leadership.isHeldHere = leadership.isHeldHere && !state.draining;
+    return leadership;
 }
 
 // Keeps the object of the last snapshot if the value is the same.
@@ -65,8 +57,6 @@
                                                        event.upTo, this->now);
         if (event.table == FleetTable::Routing)
             this->state.published.routingReadAt = this->now;
-        if (event.table == FleetTable::Batches)
-            this->state.leaseReadSentAt = this->follower(event.table).readStartedAt;
         if (event.table == FleetTable::Targets) {
             this->state.published.targetsReadAt = this->now;
             if (failedFor >= this->state.settings.minLapseOutage)
@@ -75,10 +65,6 @@
         if (event.storeClock > Duration{})
             recordStoreTime(this->state.storeClock, event.storeClock, this->now);
         applyRows(this->state, event, this->now);
-        if (event.table == FleetTable::Batches && this->state.takeoverCheckAt
-            && this->now >= *this->state.takeoverCheckAt) {
-            this->state.takeoverCheckAt.reset();
-        }
     }
 
     void operator()(const TableReadFailed &event)
@@ -111,12 +97,6 @@
         state.presenceChanged = true;
         if (!event.succeeded)
             return;
-        const bool hasGap =
-                state.acceptedHeartbeatSentAt
-                && this->now - *state.acceptedHeartbeatSentAt > state.settings.maxHeartbeatGap;
-        if (hasGap)
-            state.takeoverCheckAt = this->now + state.settings.takeoverCheckDelay;
-        state.acceptedHeartbeatSentAt = event.sentAt;
         state.ownershipValidUntil = event.sentAt + state.settings.ownershipValidity;
     }
 
@@ -127,25 +107,28 @@
         state.leaseRetryAt = this->now + state.settings.leaseRetryDelay;
         if (event.outcome == StoreOutcome::Conflict)
             this->follower(FleetTable::Batches).fullReadPending = true;
-        if (event.outcome != StoreOutcome::Committed || event.version <= state.lease.version)
+        if (event.outcome != StoreOutcome::Committed)
             return;
-        const bool hadOtherHolder =
-                state.lease.version != RowVersion{} && state.lease.holder != state.settings.self.id;
-        state.lease = {state.settings.self.id, state.settings.self.incarnation, event.version};
+        WeightOrderLease written{state.settings.self.id, state.settings.self.incarnation,
+                                 event.version};
         if (state.leaseReleaseInFlight)
-            state.lease.holder = {};
-        state.ordersAllowedFrom =
-                hadOtherHolder ? this->now + state.settings.leaseDuration : this->now;
-        state.weightOrders.engines.clear();
+            written = {{}, 0, event.version};
+        noteLease(state, written, this->now);
+    }
+
+    void operator()(const LeaseChecked &event)
+    {
+        if (recordLeaseCheck(this->state.leadership, event, this->now))
+            this->state.weightOrders.engines.clear();
     }
 
     void operator()(const EngineStateReceived &event)
     {
-        if (!canSendOrders(this->state, this->now))
+        const auto proof = weightOrderProof(this->state, this->now);
+        if (!proof)
             return;
-        const auto order =
-                onEngineStateReceived(this->state.weightOrders, this->state.published, event.target,
-                                      event.state, fencingTokenOf(this->state.lease), this->now);
+        const auto order = onEngineStateReceived(this->state.weightOrders, this->state.published,
+                                                 event.target, event.state, *proof, this->now);
         if (order)
             this->actions.emplace_back(*order);
     }
@@ -153,13 +136,13 @@
     void operator()(const WeightOrderReplyReceived &event)
     {
         onWeightOrderReply(this->state.weightOrders, event.target, event.reply, this->now);
+        if (event.reply == WeightOrderReply::StaleFencingToken)
+            requireLeaseCheck(this->state.leadership, this->now);
     }
 
     void operator()(const MachineSuspended &)
     {
-        // The monotonic clock does not show how long the gap is, so any time before it counts.
-        this->state.acceptedHeartbeatSentAt = Time{};
-        this->state.takeoverCheckAt.reset();
+        requireLeaseCheck(this->state.leadership, this->now);
         this->state.ownershipValidUntil = {};
         this->state.published.targetsReadAt.reset();
         this->state.published.routingReadAt.reset();
@@ -205,8 +188,9 @@
         this->writeHeartbeat();
         removeLapsedTargets(this->state, this->now);
         this->advanceLease();
+        this->checkLease();
         this->publish();
-        if (!canSendOrders(this->state, this->now))
+        if (!weightOrderProof(this->state, this->now))
             return;
         const EngineAssignments &assignments =
                 assignmentsFor(this->state.assignments, this->state.published);
@@ -272,12 +256,12 @@
         // While no node reaches a target, the holder keeps the lease.
         const bool isCutOff =
                 !state.reachesTargets && !peersThatReachTargets(state.presence, this->now).empty();
-        if (holdsLease(this->state)) {
+        if (holdsLease(state.leadership)) {
             if (state.draining || isCutOff)
                 this->writeLease({{}, 0, {}});
             return;
         }
-        const WeightOrderLease &lease = state.lease;
+        const WeightOrderLease &lease = state.leadership.lease;
         const bool isLeaseFree =
                 lease.holder.value.empty()
                 || isDead(state.presence, lease.holder, lease.incarnation, this->now);
@@ -292,12 +276,25 @@
             this->writeLease({state.settings.self.id, state.settings.self.incarnation, {}});
     }
 
+    // A release may be carried out although its answer is lost, so that this node does not act
+    // again before a check shows that it has not been.
     void writeLease(WeightOrderLease lease)
     {
         this->state.leaseWriteInFlight = true;
         this->state.leaseReleaseInFlight = lease.holder.value.empty();
+        if (this->state.leaseReleaseInFlight)
+            requireLeaseCheck(this->state.leadership, this->now);
         this->actions.emplace_back(
-                WriteWeightOrderLease{std::move(lease), this->state.lease.version});
+                WriteWeightOrderLease{std::move(lease), this->state.leadership.lease.version});
+    }
+
+    void checkLease()
+    {
+        FleetState &state = this->state;
+        if (state.draining || state.leaseWriteInFlight)
+            return;
+        if (const auto check = nextLeaseCheck(state.leadership, this->now))
+            this->actions.emplace_back(*check);
     }
 
     void publish()
@@ -364,11 +361,6 @@
             (*log)[record.request][record.crashed] = record.expiresAt;
         return log;
     }
-
-    static FencingToken fencingTokenOf(const WeightOrderLease &lease)
-    {
-        return static_cast<FencingToken>(lease.version);
-    }
 };
 
 } // namespace
@@ -377,6 +369,8 @@
 {
     FleetState state;
     state.presence = makePresence(settings.self.id, settings.presence, now);
+    state.leadership =
+            makeLeadership(settings.self.id, settings.self.incarnation, settings.leaseDuration);
     state.settings = std::move(settings);
     const std::array<FollowerSettings, fleetTableCount> followerSettings{
             routingFollowerSettings, targetsFollowerSettings, nodesFollowerSettings,
@@ -391,10 +385,9 @@
     return state;
 }
 
-bool canSendOrders(const FleetState &state, Time now)
+std::optional<LeadershipProof> weightOrderProof(const FleetState &state, Time now)
 {
-    return holdsLease(state) && !state.draining && state.reachesTargets
-           && now >= state.ordersAllowedFrom && now < state.ownershipValidUntil;
+    return state.reachesTargets ? proofOf(leadershipOf(state), now) : std::nullopt;
 }
 
 std::vector<FleetAction> step(FleetState &state, const FleetEvent &event, Time now)
@@ -406,8 +399,8 @@
 }
 
 // Includes only times at which a tick can act, since otherwise ticks would repeat immediately.
-// Weight orders are left out while no recent heartbeat proves the lease, and the next heartbeat
-// while one is in flight, since its answer triggers the next event.
+// Weight orders are left out while nothing proves the lease, checks of the lease while it is being
+// written, and the next heartbeat while one is in flight, since its answer triggers the next event.
 std::optional<Time> dueAt(const FleetState &state, Time now)
 {
     std::optional<Time> due;
@@ -418,10 +411,13 @@
         if (const auto followerDueAt = dueAt(follower))
             add(*followerDueAt);
     }
-    if (holdsLease(state) && state.ordersAllowedFrom > now)
-        add(state.ordersAllowedFrom);
+    if (holdsLease(state.leadership) && state.leadership.actsFrom > now)
+        add(state.leadership.actsFrom);
+    const auto checkDueAt = leaseCheckDueAt(state.leadership);
+    if (checkDueAt && !state.draining && !state.leaseWriteInFlight)
+        add(*checkDueAt);
     const auto ordersDueAt = dueAt(state.weightOrders);
-    if (ordersDueAt && canSendOrders(state, now))
+    if (ordersDueAt && weightOrderProof(state, now))
         add(*ordersDueAt);
     return due;
 }
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -101,21 +101,7 @@
             noteCrashesChanged(this->state);
     }
 
-    void operator()(const WeightOrderLease &lease)
-    {
-        if (lease.version <= this->state.lease.version)
-            return;
-        // The row may come from a write of this node whose answer is outstanding or was lost.
-        const bool isOwnLease = lease.holder == this->state.settings.self.id
-                                && lease.incarnation == this->state.settings.self.incarnation;
-        if (isOwnLease) {
-            const bool hadOtherHolder = this->state.lease.version != RowVersion{}
-                                        && this->state.lease.holder != lease.holder;
-            this->state.ordersAllowedFrom =
-                    hadOtherHolder ? this->now + this->state.settings.leaseDuration : this->now;
-        }
-        this->state.lease = lease;
-    }
+    void operator()(const WeightOrderLease &lease) { noteLease(this->state, lease, this->now); }
 };
 
 // Handles rows that are known but absent from a full read: they have been removed.
@@ -156,6 +142,13 @@
         std::visit(RowApplier{state, row, read.table, now}, row.record);
 }
 
+// Orders in progress belong to the term that has ended.
+void noteLease(FleetState &state, const WeightOrderLease &lease, Time now)
+{
+    if (recordLease(state.leadership, lease, now))
+        state.weightOrders.engines.clear();
+}
+
 void removeLapsedTargets(FleetState &state, Time now)
 {
     // A row that lapses in an outage of the store comes back, also that of a target that leaves.
--- a/packages/core/src/fleet/weight_orders.cpp
+++ b/packages/core/src/fleet/weight_orders.cpp
@@ -141,9 +141,11 @@
     return actions;
 }
 
-std::optional<SendWeightOrder>
-onEngineStateReceived(WeightOrders &orders, const Directory &directory, const TargetId &target,
-                      const std::optional<EngineState> &state, FencingToken fence, Time now)
+std::optional<SendWeightOrder> onEngineStateReceived(WeightOrders &orders,
+                                                     const Directory &directory,
+                                                     const TargetId &target,
+                                                     const std::optional<EngineState> &state,
+                                                     const LeadershipProof &proof, Time now)
 {
     const auto position = orders.engines.find(target);
     if (position == orders.engines.end() || position->second.phase != EnginePhase::AwaitingState)
@@ -170,7 +172,7 @@
     }
     order.phase = EnginePhase::AwaitingReply;
     order.due = now + orders.settings.replyTimeout;
-    return SendWeightOrder{known->second.target, order.model, order.version, fence,
+    return SendWeightOrder{known->second.target, order.model, order.version, proof,
                            state->acceptedOrders};
 }
 
--- a/packages/core/src/leader/leader.cpp
+++ b/packages/core/src/leader/leader.cpp
@@ -6,15 +6,15 @@
 namespace geraniumpulley::core {
 namespace {
 
-// Decides by the directory whether this node may act as the leader now.
-bool mayAct(const LeaderState &state, Time now)
+// Returns the right of this node to act as the leader now, if it has it.
+std::optional<LeadershipProof> proofOf(const LeaderState &state, Time now)
 {
-    const Directory *directory = state.directory.get();
-    if (directory == nullptr || state.draining)
-        return false;
-    const Leadership &leadership = directory->leadership;
-    return leadership.isHeldHere && now >= leadership.actsFrom
-           && now < directory->ownershipValidUntil && state.supersededFence != leadership.fence;
+    if (!state.directory || state.draining)
+        return std::nullopt;
+    const Leadership &leadership = state.directory->leadership;
+    if (state.supersededFence == leadership.fence)
+        return std::nullopt;
+    return proofOf(leadership, now);
 }
 
 bool reportsUsage(const LeaderState &state)
@@ -101,26 +101,25 @@
         for (StoreUsageCounts &write :
              dueUsageWrites(this->state.counter, this->now, this->wallNow))
             this->actions.emplace_back(std::move(write));
-        this->updateTurn();
-        if (!this->state.isActing)
+        const auto proof = proofOf(this->state, this->now);
+        this->updateTurn(proof.has_value());
+        if (!proof)
             return;
-        const FencingToken fence = this->state.actingFence;
         if (reportsUsage(this->state)) {
             for (UsageAction &action :
-                 advanceReports(this->state.reporter, fence, this->now, this->wallNow))
+                 advanceReports(this->state.reporter, *proof, this->now, this->wallNow))
                 std::visit(
                         [this](auto &content) { this->actions.emplace_back(std::move(content)); },
                         action);
         }
         for (OrderTargets &order :
-             planTargetOrders(this->state.orders, *this->state.directory, fence, this->now))
+             planTargetOrders(this->state.orders, *this->state.directory, *proof, this->now))
             this->actions.emplace_back(std::move(order));
     }
 
-    // A turn lasts as long as the lease, also while no heartbeat proves it for a moment.
-    void updateTurn()
+    // A turn lasts as long as the lease, also while nothing proves it for a moment.
+    void updateTurn(bool acts)
     {
-        const bool acts = mayAct(this->state, this->now);
         const Leadership leadership =
                 this->state.directory ? this->state.directory->leadership : Leadership{};
         const bool isOtherTurn =
@@ -167,7 +166,7 @@
     if (directory != nullptr && directory->leadership.isHeldHere
         && directory->leadership.actsFrom > now)
         add(directory->leadership.actsFrom);
-    if (!mayAct(state, now))
+    if (!proofOf(state, now))
         return due;
     if (reportsUsage(state))
         add(*dueAt(state.reporter, now, wallNow));
--- a/packages/core/src/leader/target_orders.cpp
+++ b/packages/core/src/leader/target_orders.cpp
@@ -142,7 +142,7 @@
 }
 
 std::vector<OrderTargets> planTargetOrders(TargetOrders &orders, const Directory &directory,
-                                           FencingToken fence, Time now)
+                                           const LeadershipProof &proof, Time now)
 {
     std::vector<OrderTargets> planned;
     if (now < orders.nextPlanAt)
@@ -191,7 +191,7 @@
             auto order = orderGroup(orders, service, group, total, presentCount, now);
             if (!order)
                 continue;
-            order->fence = fence;
+            order->proof = proof;
             order->demand = peak;
             planned.push_back(std::move(*order));
         }
--- a/packages/core/src/leader/usage_reporter.cpp
+++ b/packages/core/src/leader/usage_reporter.cpp
@@ -26,7 +26,8 @@
     }
 }
 
-UsageAction makeAction(UsageWindow window, const PendingReport &report, FencingToken fence)
+UsageAction makeAction(UsageWindow window, const PendingReport &report,
+                       const LeadershipProof &proof)
 {
     switch (report.phase) {
     case ReportPhase::FindingReport:
@@ -38,7 +39,7 @@
     case ReportPhase::Sending:
         break;
     }
-    return SendUsageReport{window, report.counts, fence};
+    return SendUsageReport{window, report.counts, proof};
 }
 
 // Returns the report whose action in this phase has completed, or null.
@@ -67,8 +68,8 @@
 
 } // namespace
 
-std::vector<UsageAction> advanceReports(UsageReporter &reporter, FencingToken fence, Time now,
-                                        WallTime wallNow)
+std::vector<UsageAction> advanceReports(UsageReporter &reporter, const LeadershipProof &proof,
+                                        Time now, WallTime wallNow)
 {
     const UsageReporterSettings &settings = reporter.settings;
     std::vector<UsageAction> actions;
@@ -83,7 +84,7 @@
         if (report.inFlight || report.retryAt > now)
             continue;
         report.inFlight = true;
-        actions.push_back(makeAction(window, report, fence));
+        actions.push_back(makeAction(window, report, proof));
     }
     if (now >= reporter.nextSweepAt) {
         reporter.nextSweepAt = now + settings.sweepPeriod;
--- a/packages/core/tests/fleet/unit-fleet.cpp
+++ b/packages/core/tests/fleet/unit-fleet.cpp
@@ -56,6 +56,16 @@
         }
     }
 
+    // Answers the next check of the lease.
+    void confirmLease(std::uint64_t version)
+    {
+        this->now += 1ms;
+        this->send(LeaseChecked{
+                this->now,
+                true,
+                {settings().self.id, settings().self.incarnation, RowVersion{version}}});
+    }
+
     void confirmHeartbeat(std::uint64_t counter)
     {
         this->send(HeartbeatWriteCompleted{this->now, true});
@@ -159,6 +169,7 @@
     CHECK(fixture.state.assignments.assignments.empty());
     fixture.read(FleetTable::Batches, true,
                  {{"weight-orders", RowVersion{2}, makeLease("self", 1, 2)}});
+    fixture.confirmLease(2);
     CHECK(fixture.state.assignments.assignments.at({"a"}) == "m");
 }
 
@@ -240,8 +251,8 @@
     }
     REQUIRE(fixture.state.leaseWriteInFlight);
     fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Committed, RowVersion{8}});
-    CHECK(fixture.state.lease.holder.value == "self");
-    CHECK(fixture.state.ordersAllowedFrom == fixture.now + 3s);
+    CHECK(fixture.state.leadership.lease.holder.value == "self");
+    CHECK(fixture.state.leadership.actsFrom == fixture.now + 3s);
 }
 
 TEST_CASE("a lease write whose answer was lost is recognised from the table")
@@ -251,8 +262,8 @@
     fixture.confirmHeartbeat(1);
     fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Unknown, {}});
     fixture.read(FleetTable::Batches, false, {{"lease", RowVersion{6}, makeLease("self", 1, 6)}});
-    CHECK(fixture.state.lease.version == RowVersion{6});
-    CHECK(fixture.state.lease.holder.value == "self");
+    CHECK(fixture.state.leadership.lease.version == RowVersion{6});
+    CHECK(fixture.state.leadership.lease.holder.value == "self");
 }
 
 TEST_CASE("a suspension of the machine invalidates ownership until the next heartbeat")
@@ -280,6 +291,7 @@
     fixture.read(FleetTable::Batches, true, {});
     fixture.confirmHeartbeat(1);
     fixture.send(WeightOrderLeaseWriteCompleted{StoreOutcome::Committed, RowVersion{8}});
+    fixture.confirmLease(8);
     REQUIRE(fixture.find<RequestEngineState>() != nullptr);
     for (int i = 0; i < 100; ++i) {
         fixture.now += 100ms;
--- a/packages/core/tests/fleet/unit-weight_orders.cpp
+++ b/packages/core/tests/fleet/unit-weight_orders.cpp
@@ -54,8 +54,8 @@
     std::optional<SendWeightOrder> receiveState(const TargetId &target,
                                                 const std::optional<EngineState> &state, Time now)
     {
-        return onEngineStateReceived(this->orders, this->directory, target, state, FencingToken{5},
-                                     now);
+        return onEngineStateReceived(this->orders, this->directory, target, state,
+                                     {FencingToken{5}, now + 1s}, now);
     }
 };
 
@@ -75,7 +75,7 @@
     REQUIRE(order.has_value());
     CHECK(order->version == WeightVersion{2});
     CHECK(order->expectedAcceptedOrders == 3);
-    CHECK(order->fence == FencingToken{5});
+    CHECK(order->proof.fence == FencingToken{5});
 }
 
 TEST_CASE("only a share of the engines loads at the same time")
--- a/packages/core/tests/leader/unit-leader.cpp
+++ b/packages/core/tests/leader/unit-leader.cpp
@@ -84,7 +84,8 @@
     {
         if (this->platform.reply == ProviderReply::Accepted)
             this->platform.accepted[report.window].insert(report.counts);
-        events.emplace_back(UsageReportSent{report.window, report.fence, this->platform.reply});
+        events.emplace_back(
+                UsageReportSent{report.window, report.proof.fence, this->platform.reply});
     }
     void perform(const OrderTargets &order, std::deque<LeaderEvent> &events)
     {
@@ -102,8 +103,8 @@
         Directory directory;
         directory.routing = routing;
         directory.targets = std::make_shared<TargetMap>();
-        directory.leadership = {{"self"}, fence > 0, FencingToken{fence}, this->now};
-        directory.ownershipValidUntil = this->now + proof;
+        directory.leadership = {
+                {"self"}, fence > 0, FencingToken{fence}, this->now, this->now + proof};
         this->send(LeaderDirectoryChanged{std::make_shared<Directory>(directory)});
     }
 
--- a/packages/core/tests/leader/unit-leader_property.cpp
+++ b/packages/core/tests/leader/unit-leader_property.cpp
@@ -140,6 +140,10 @@
         }
         events.emplace_back(completed);
     }
+    void perform(const CheckLease &, std::deque<FleetEvent> &events)
+    {
+        events.emplace_back(LeaseChecked{this->now, this->reachesStore(), this->store.lease});
+    }
     void perform(const PublishDirectory &publish, std::deque<FleetEvent> &)
     {
         auto directory = std::make_shared<Directory>(*publish.directory);
@@ -161,9 +165,9 @@
                     events.emplace_back(
                             UsageReportFound{find->window, this->reachesStore(), UsageCounts{}});
                 if (const auto *report = std::get_if<SendUsageReport>(&action)) {
-                    this->calls.push_back({this->index, number(report->fence), this->now});
+                    this->calls.push_back({this->index, number(report->proof.fence), this->now});
                     // The provider is down, so that the leader calls often.
-                    events.emplace_back(UsageReportSent{report->window, report->fence,
+                    events.emplace_back(UsageReportSent{report->window, report->proof.fence,
                                                         ProviderReply::Unanswered});
                 }
             }
--- a/packages/core/tests/leader/unit-target_orders.cpp
+++ b/packages/core/tests/leader/unit-target_orders.cpp
@@ -80,7 +80,8 @@
             }
             this->publish();
             for (const OrderTargets &order :
-                 planTargetOrders(this->orders, this->directory, FencingToken{3}, this->now)) {
+                 planTargetOrders(this->orders, this->directory, {FencingToken{3}, this->now + 1s},
+                                  this->now)) {
                 ++this->calls;
                 const std::string &dataCentre = order.group.dataCentre;
                 const bool canServe =
@@ -190,7 +191,8 @@
 {
     Provider provider;
     provider.directory.targetsKnown = false;
-    CHECK(planTargetOrders(provider.orders, provider.directory, FencingToken{3}, provider.now)
+    CHECK(planTargetOrders(provider.orders, provider.directory,
+                           {FencingToken{3}, provider.now + 1s}, provider.now)
                   .empty());
     CHECK(provider.orders.nextPlanAt > provider.now);
 }
@@ -200,6 +202,7 @@
     Provider provider;
     provider.demand(150);
     provider.now += 3s;
-    CHECK(planTargetOrders(provider.orders, provider.directory, FencingToken{3}, provider.now)
+    CHECK(planTargetOrders(provider.orders, provider.directory,
+                           {FencingToken{3}, provider.now + 1s}, provider.now)
                   .empty());
 }
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -3,6 +3,7 @@
 #include "parts.hpp"
 
 #include <geraniumpulley/core/control/view.hpp>
+#include <geraniumpulley/core/fleet/leadership.hpp>
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/core/identifier.hpp>
@@ -11,6 +12,7 @@
 
 #include <geraniumpulley/runtime/clock.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <utility>
@@ -60,6 +62,32 @@
     std::optional<core::Time> armedFor;
 };
 
+/// Detects suspensions of the machine, during which the monotonic clock stands still. Used on one
+/// thread.
+class SuspensionDetector
+{
+public:
+    /// \return the length of a suspension since the last call, if there was one.
+    std::optional<core::Duration> poll()
+    {
+        const core::Duration total = runtime::suspendedTime();
+        const core::Duration jump = total - std::exchange(this->totalSuspended, total);
+        return jump > threshold ? std::optional(jump) : std::nullopt;
+    }
+
+private:
+    // Shorter jumps of the boot clock against the monotonic clock are jitter.
+    static constexpr core::Duration threshold = std::chrono::milliseconds(200);
+    core::Duration totalSuspended = runtime::suspendedTime();
+};
+
+/// Ensures that a request of the leader leaves only while its right to act lasts, however long it
+/// waits for the client's thread or for its connection.
+inline void limitToProof(net::HttpRequest &request, const core::LeadershipProof &proof)
+{
+    request.deadline = std::min(request.deadline, proof.validUntil);
+}
+
 inline net::CancelKey cancelKeyOf(core::OperationId operation)
 {
     return static_cast<net::CancelKey>(core::number(operation));
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -26,9 +26,8 @@
 constexpr core::Duration peerTimeout = std::chrono::milliseconds(500);
 constexpr core::Duration leaseWriteTimeout = std::chrono::milliseconds(1200);
 constexpr core::Duration engineTimeout = std::chrono::milliseconds(800);
-// A jump of the boot clock against the monotonic clock counts as a suspension of the machine if it
-// is longer than this; shorter ones are jitter.
-constexpr core::Duration suspensionThreshold = std::chrono::milliseconds(200);
+// A check that takes longer says little about the time at which it is answered.
+constexpr core::Duration leaseCheckTimeout = std::chrono::milliseconds(800);
 
 struct TablePartition
 {
@@ -98,14 +97,14 @@
     return key;
 }
 
-// What a node believes about the lease on weight orders.
-struct LeaseBelief
+// What is logged of the lease when it changes.
+struct LoggedLease
 {
     core::NodeId holder;
     core::RowVersion version{};
-    bool canSendOrders = false;
+    bool canOrder = false;
 
-    bool operator==(const LeaseBelief &) const = default;
+    bool operator==(const LoggedLease &) const = default;
 };
 
 struct FleetDuty
@@ -113,49 +112,48 @@
     Parts &parts;
     core::FleetState state;
     TickTimer wakeup;
-    core::Duration totalSuspended{}; // As of the last event.
+    SuspensionDetector suspensions{};
     core::ConfigurationVersion appliedRouting{};
-    LeaseBelief loggedBelief{};
+    LoggedLease loggedLease{};
     std::unique_ptr<TargetRowCache> targetRows = std::make_unique<TargetRowCache>();
 
     void handle(const core::FleetEvent &event)
     {
         this->detectSuspension();
         decideAndArm<core::FleetTick>(*this, event);
-        this->logLeaseBelief();
+        this->logLease();
     }
 
-    void logLeaseBelief()
+    void logLease()
     {
         const core::Time now = runtime::now();
-        const core::WeightOrderLease &lease = this->state.lease;
-        const LeaseBelief belief{lease.holder, lease.version,
-                                 core::canSendOrders(this->state, now)};
-        if (std::exchange(this->loggedBelief, belief) == belief)
+        const core::LeadershipState &leadership = this->state.leadership;
+        const LoggedLease known{leadership.lease.holder, leadership.lease.version,
+                                core::weightOrderProof(this->state, now).has_value()};
+        if (std::exchange(this->loggedLease, known) == known)
             return;
-        this->parts.logger.write(
-                "weight_order_lease_known", field("holder", belief.holder.value),
-                field("fence", static_cast<std::uint64_t>(belief.version)),
-                field("can_order", belief.canSendOrders),
-                field("read_age_ms", ageOf(this->state.leaseReadSentAt, now)),
-                field("heartbeat_age_ms", ageOf(this->state.acceptedHeartbeatSentAt, now)));
+        this->parts.logger.write("weight_order_lease_known", field("holder", known.holder.value),
+                                 field("fence", static_cast<std::uint64_t>(known.version)),
+                                 field("can_order", known.canOrder),
+                                 field("confirmed_ms_ago", this->confirmationAge(now)));
     }
 
-    // In milliseconds; -1 if unknown.
-    static std::int64_t ageOf(const std::optional<core::Time> &time, core::Time now)
+    // Returns the age of the check that last confirmed the lease, in ms; -1 if there is none.
+    std::int64_t confirmationAge(core::Time now) const
     {
-        return time ? (now - *time).count() / 1000 : -1;
+        const auto &confirmedAt = this->state.leadership.confirmedAt;
+        return confirmedAt ? (now - *confirmedAt) / std::chrono::milliseconds(1) : -1;
     }
 
     std::optional<core::Time> due() const { return core::dueAt(this->state, runtime::now()); }
 
     void detectSuspension()
     {
-        const core::Duration total = runtime::suspendedTime();
-        const core::Duration jump = total - std::exchange(this->totalSuspended, total);
-        if (jump <= suspensionThreshold)
+        const auto suspendedFor = this->suspensions.poll();
+        if (!suspendedFor)
             return;
-        this->parts.logger.write("vm_suspension_detected", field("for_ms", jump.count() / 1000));
+        this->parts.logger.write("vm_suspension_detected",
+                                 field("for_ms", *suspendedFor / std::chrono::milliseconds(1)));
         decide(*this, core::FleetEvent{core::MachineSuspended{}});
     }
 
@@ -315,6 +313,37 @@
                  [this](StoreReply &&reply) { this->onLeaseWriteReply(reply); }});
     }
 
+    void perform(core::CheckLease &&)
+    {
+        const std::string endKey = std::string(weightOrderLeaseKey) + ' ';
+        this->parts.storeLink->send(
+                {platform::encodeRead({batchesTable, "", weightOrderLeaseKey, endKey, 1}),
+                 leaseCheckTimeout, [this, sentAt = runtime::now()](StoreReply &&reply) {
+                     const core::LeaseChecked checked = toLeaseCheck(sentAt, reply);
+                     if (!checked.succeeded)
+                         this->parts.metrics.count("lease_checks_failed");
+                     this->push(checked);
+                 }});
+    }
+
+    static core::LeaseChecked toLeaseCheck(core::Time sentAt, const StoreReply &reply)
+    {
+        core::LeaseChecked checked{sentAt, false, {}};
+        if (reply.outcome != codec::RelayOutcome::Answered || reply.status != core::status::ok)
+            return checked;
+        const auto rows = platform::decodeRows(reply.body);
+        if (!rows)
+            return checked;
+        checked.succeeded = true;
+        for (const platform::Row &row : rows.value().rows) {
+            const auto lease = codec::decodeWeightOrderLease(row.value, row.version);
+            checked.succeeded = checked.succeeded && lease;
+            if (lease)
+                checked.lease = lease.value();
+        }
+        return checked;
+    }
+
     void onLeaseWriteReply(const StoreReply &reply)
     {
         core::WeightOrderLeaseWriteCompleted completion;
@@ -344,20 +373,21 @@
     void perform(core::SendWeightOrder &&order)
     {
         const core::Time now = runtime::now();
-        this->parts.logger.write(
-                "weight_order_sent", field("target", order.target.id.value),
-                field("fence", core::number(order.fence)),
-                field("read_age_ms", ageOf(this->state.leaseReadSentAt, now)),
-                field("heartbeat_age_ms", ageOf(this->state.acceptedHeartbeatSentAt, now)));
+        this->parts.logger.write("weight_order_sent", field("target", order.target.id.value),
+                                 field("fence", core::number(order.proof.fence)),
+                                 field("confirmed_ms_ago", this->confirmationAge(now)),
+                                 field("valid_for_ms", (order.proof.validUntil - now)
+                                                               / std::chrono::milliseconds(1)));
         net::HttpRequest request = platform::encodeWeightOrder(order, this->state.settings.self.id);
-        request.deadline = runtime::now() + engineTimeout;
+        request.deadline = now + engineTimeout;
+        limitToProof(request, order.proof);
         request.done = [this, order](net::HttpResult &&result) {
             noteLeaving(this->parts, order.target.id, result.status, result.headers);
             const core::WeightOrderReply reply = platform::decodeWeightOrderReply(result);
             this->parts.logger.write("weights_ordered", field("target", order.target.id.value),
                                      field("model", order.model),
                                      field("version", core::number(order.version)),
-                                     field("fence", core::number(order.fence)),
+                                     field("fence", core::number(order.proof.fence)),
                                      field("reply", static_cast<int>(reply)));
             this->push(core::WeightOrderReplyReceived{order.target.id, reply});
         };
@@ -420,7 +450,6 @@
                       [&parts] {
                           static_cast<void>(parts.fleet.inbox().tryPush(core::FleetTick{}));
                       }),
-            runtime::suspendedTime(),
             {}});
     parts.fleet.start("fleet", [duty](core::FleetEvent &&event) { duty->handle(event); });
     parts.fleet.inbox().push(core::FleetTick{});
--- a/packages/entry/src/leader_duty.cpp
+++ b/packages/entry/src/leader_duty.cpp
@@ -69,9 +69,14 @@
     {
         if (std::holds_alternative<core::LeaderTick>(event))
             this->wakeup.noteTick();
+        this->decide(event);
+        this->wakeup.armFor(core::dueAt(this->state, runtime::now(), runtime::wallNow()));
+    }
+
+    void decide(const core::LeaderEvent &event)
+    {
         for (auto &action : core::step(this->state, event, runtime::now(), runtime::wallNow()))
             std::visit([this](auto &content) { this->perform(std::move(content)); }, action);
-        this->wakeup.armFor(core::dueAt(this->state, runtime::now(), runtime::wallNow()));
     }
 
     void perform(core::StoreUsageCounts &&action)
@@ -94,7 +99,7 @@
     {
         net::HttpRequest request =
                 platform::encodeUsageReport(report, this->self.id, this->providerAddress);
-        request.done = [this, window = report.window, fence = report.fence,
+        request.done = [this, window = report.window, fence = report.proof.fence,
                         requests = totalOf(report.counts)](net::HttpResult &&result) {
             const core::ProviderReply reply = platform::decodeProviderReply(result);
             this->parts.metrics.count(std::string("usage_reports_") + nameOf(reply));
@@ -104,7 +109,7 @@
                                      field("reply", nameOf(reply)));
             this->parts.leader.deliver(core::UsageReportSent{window, fence, reply});
         };
-        this->callProvider(std::move(request));
+        this->callProvider(std::move(request), report.proof);
     }
 
     void perform(core::UsageReportMissed &&missed)
@@ -127,16 +132,17 @@
                                      field("reclaimable", order.group.isReclaimable),
                                      field("count", order.count), field("present", order.present),
                                      field("demand", order.demand),
-                                     field("fence", core::number(order.fence)),
+                                     field("fence", core::number(order.proof.fence)),
                                      field("status", result.status), field("reply", nameOf(reply)));
             this->parts.leader.deliver(core::TargetsOrdered{order.group, reply});
         };
-        this->callProvider(std::move(request));
+        this->callProvider(std::move(request), order.proof);
     }
 
-    void callProvider(net::HttpRequest &&request)
+    void callProvider(net::HttpRequest &&request, const core::LeadershipProof &proof)
     {
         request.deadline = runtime::now() + providerTimeout;
+        limitToProof(request, proof);
         request.connectTimeout = connectTimeout;
         this->parts.storeClient->send(std::move(request));
     }
