Leader duty and its requests notice a suspension of the machine themselves

Cause: a suspension stops the monotonic clock on which proofs of the lease are measured. Only the fleet duty looked at the boot clock; a tick of the leader duty that came first acted under the proof that the directory still carried, and a request that waited for its connection went out afterwards.

Change: SuspensionDetector, polled by both duties before each event; LeaderSuspended voids the proofs up to the one in the directory; limitToProof lets the client ask once more right before a request of the leader is written.

Test without the change in leader.cpp: unit-leader, "a suspension of the machine voids the proof that the directory still carries": CHECK( node.performedCount<SendUsageReport>() == sent ), values: CHECK( 22 == 17 ). With it: 341 of 341 cases of test_core, 58 of 58 of test_net.

--- a/packages/core/include/geraniumpulley/core/leader/leader.hpp
+++ b/packages/core/include/geraniumpulley/core/leader/leader.hpp
@@ -71,6 +71,10 @@
     TargetGroup group;
     ProviderReply reply = ProviderReply::Unanswered;
 };
+/// The machine was suspended, for a time that the monotonic clock did not count.
+struct LeaderSuspended
+{
+};
 /// This node shuts down: its counts are written at once.
 struct LeaderDraining
 {
@@ -82,7 +86,7 @@
 using LeaderEvent =
         std::variant<UsageRecorded, LeaderDirectoryChanged, DemandReceived, UsageCountsStored,
                      UsageReportFound, UsageCountsRead, UsageReportDecided, UsageReportSent,
-                     TargetsOrdered, LeaderDraining, LeaderTick>;
+                     TargetsOrdered, LeaderSuspended, LeaderDraining, LeaderTick>;
 
 // Actions
 
@@ -107,6 +111,8 @@
     FencingToken actingFence{}; ///< The fencing token of the current turn.
     /// A fencing token under which this node sends nothing more, since a higher one was seen.
     std::optional<FencingToken> supersededFence;
+    /// Proofs of the lease up to this time are void, since the machine was suspended.
+    Time voidProofsUntil{};
     bool draining = false;
 };
 
--- a/packages/core/src/leader/leader.cpp
+++ b/packages/core/src/leader/leader.cpp
@@ -12,7 +12,8 @@
     if (!state.directory || state.draining)
         return std::nullopt;
     const Leadership &leadership = state.directory->leadership;
-    if (state.supersededFence == leadership.fence)
+    if (state.supersededFence == leadership.fence
+        || leadership.provenUntil <= state.voidProofsUntil)
         return std::nullopt;
     return proofOf(leadership, now);
 }
@@ -79,6 +80,13 @@
         onTargetsOrdered(this->state.orders, event.group, event.reply, this->now);
     }
 
+    // The directory still carries the proof from before the suspension.
+    void operator()(const LeaderSuspended &)
+    {
+        if (this->state.directory)
+            this->state.voidProofsUntil = this->state.directory->leadership.provenUntil;
+    }
+
     void operator()(const LeaderDraining &)
     {
         this->state.draining = true;
--- a/packages/core/tests/leader/leadership_simulation.cpp
+++ b/packages/core/tests/leader/leadership_simulation.cpp
@@ -169,6 +169,7 @@
         if (trouble == Trouble::Suspended) {
             node.pendingOrders.clear();
             node.inbox.emplace_front(MachineSuspended{});
+            this->lead(node, LeaderSuspended{});
         }
         if (trouble == Trouble::WithoutTargets)
             node.inbox.emplace_back(TargetReachChanged{true});
--- a/packages/core/tests/leader/unit-leader.cpp
+++ b/packages/core/tests/leader/unit-leader.cpp
@@ -268,6 +268,25 @@
     CHECK(platform.accepted.size() > accepted);
 }
 
+// Guards against calls under the proof from before a suspension, in which another node has taken
+// over.
+TEST_CASE("a suspension of the machine voids the proof that the directory still carries")
+{
+    Platform platform;
+    platform.reply = ProviderReply::Unanswered;
+    LeaderNode node{platform};
+    node.lead(1);
+    node.advance(9s);
+    const std::size_t sent = node.performedCount<SendUsageReport>();
+    REQUIRE(sent > 0);
+    node.send(LeaderSuspended{});
+    node.advance(3s);
+    CHECK(node.performedCount<SendUsageReport>() == sent);
+    node.lead(1);
+    node.advance(3s);
+    CHECK(node.performedCount<SendUsageReport>() > sent);
+}
+
 TEST_CASE("a node that shuts down writes its counts at once")
 {
     Platform platform;
--- a/packages/entry/src/duties.hpp
+++ b/packages/entry/src/duties.hpp
@@ -86,6 +86,7 @@
 inline void limitToProof(net::HttpRequest &request, const core::LeadershipProof &proof)
 {
     request.deadline = std::min(request.deadline, proof.validUntil);
+    request.mayWrite = [detector = SuspensionDetector()]() mutable { return !detector.poll(); };
 }
 
 inline net::CancelKey cancelKeyOf(core::OperationId operation)
--- a/packages/entry/src/leader_duty.cpp
+++ b/packages/entry/src/leader_duty.cpp
@@ -64,11 +64,14 @@
     std::string providerAddress;
     core::LeaderState state;
     TickTimer wakeup;
+    SuspensionDetector suspensions{};
 
     void handle(const core::LeaderEvent &event)
     {
         if (std::holds_alternative<core::LeaderTick>(event))
             this->wakeup.noteTick();
+        if (this->suspensions.poll())
+            this->decide(core::LeaderSuspended{});
         this->decide(event);
         this->wakeup.armFor(core::dueAt(this->state, runtime::now(), runtime::wallNow()));
     }
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -88,6 +88,9 @@
     /// then the parts that `onBodyPart` calls so. If it is 0, only the deadline applies.
     core::Duration readTimeout{};
     CancelKey cancelKey{}; ///< Identifies the request for `HttpClient::cancel`.
+    /// When set, asked on the client's thread right before the request is written; if it returns
+    /// false, the request fails as `NotSent`.
+    std::function<bool()> mayWrite = {};
 };
 
 /// What came of opening a connection.
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -179,7 +179,8 @@
     // The timer of the connection does not prevent a write that can be performed at once.
     void write()
     {
-        if (runtime::now() >= this->request.deadline)
+        if (runtime::now() >= this->request.deadline
+            || (this->request.mayWrite && !this->request.mayWrite()))
             return this->fail(SendFailure::NotSent);
         this->writeStarted = true;
         this->message.version(11);
--- a/packages/net/tests/unit-connection_reuse.cpp
+++ b/packages/net/tests/unit-connection_reuse.cpp
@@ -146,6 +146,20 @@
     client.reset();
 }
 
+TEST_CASE("a request that may no longer be written fails as not sent")
+{
+    ScriptedServer server({makeResponse("a"), makeResponse("b")});
+    auto client = std::move(net::HttpClient::create({}).value());
+    net::HttpRequest allowed = makeRequest(server.address(), "a");
+    allowed.mayWrite = [] { return true; };
+    CHECK(sendAndReceive(*client, std::move(allowed)).body == "ok");
+    net::HttpRequest forbidden = makeRequest(server.address(), "b");
+    forbidden.mayWrite = [] { return false; };
+    CHECK(sendAndReceive(*client, std::move(forbidden)).failure == SendFailure::NotSent);
+    CHECK(sendAndReceive(*client, makeRequest(server.address(), "b")).body == "ok");
+    client.reset();
+}
+
 TEST_CASE("a connection with bytes after the response is not reused")
 {
     ScriptedServer server({makeResponse("a", makeResponse("x")), makeResponse("b")});
