A holder of the lease that took it from an earlier process of its own waits as well

Cause: a node that restarted shortly after it had taken the lease over from another one took it again from itself and acted at once, within the lease time of that other node, whose right to act may still have lasted. The wait was left out because the former holder had the same id.

Test before the change: unit-leadership, "a new holder waits after any other term, and only the first one ever does not", the case of an earlier process of this node: CHECK( fixture.state.actsFrom == fixture.now + leaseDuration ) is NOT correct.

--- a/packages/core/src/fleet/leadership.cpp
+++ b/packages/core/src/fleet/leadership.cpp
@@ -34,19 +34,19 @@
     return state.lease.holder == state.self && state.lease.incarnation == state.incarnation;
 }
 
-// A new holder waits also after a release, since the holder before may still be acting. Only the
-// first holder ever has nobody to wait for; its write was conditional on the absence of the row.
+// A new holder waits also after a release and after an earlier incarnation of its own: the holder
+// before that one may still be acting. Only the first holder ever has nobody to wait for; its write
+// was conditional on the absence of the row.
 bool recordLease(LeadershipState &state, const WeightOrderLease &lease, Time now)
 {
     if (lease.version <= state.lease.version)
         return false;
-    const bool hadOtherHolder =
-            state.lease.version != RowVersion{} && state.lease.holder != state.self;
+    const bool isFirstTerm = state.lease.version == RowVersion{};
     state.lease = lease;
     state.confirmedAt.reset();
     state.nextCheckAt = now;
     if (holdsLease(state))
-        state.actsFrom = hadOtherHolder ? now + state.settings.leaseDuration : now;
+        state.actsFrom = isFirstTerm ? now : now + state.settings.leaseDuration;
     return true;
 }
 
--- a/packages/core/tests/leader/unit-leadership.cpp
+++ b/packages/core/tests/leader/unit-leadership.cpp
@@ -90,8 +90,8 @@
         const char *holder;
         std::uint64_t incarnation;
     };
-    // Another node, and a released lease.
-    for (const Former &former : {Former{"other", 1}, Former{"", 0}}) {
+    // Another node, a released lease, and an earlier process of this node.
+    for (const Former &former : {Former{"other", 1}, Former{"", 0}, Former{"self", 1}}) {
         CAPTURE(former.holder);
         LeadershipFixture fixture;
         fixture.record(former.holder, former.incarnation, 4);
