Weight orders of the native interface are not written after their claim's time

Cause: an order was decided while the claim of its group was confirmed, and could then wait for its connection for as long as its answer may take, 60 s, while a new owner of the group begins after 5 s. No margin was left for orders on their way. Only engines that check no fencing tokens are concerned.

Change: OrderWeights::sendBefore, 0.5 s before the claim's time is over; the client asks for it right before it writes.

Test without the limit: unit-engines, "an order is not sent after the time for which its claim was confirmed": CHECK( order->sendBefore < confirmedUntil ) is NOT correct, for each of its orders.

--- a/packages/core/include/geraniumpulley/core/engines/engines.hpp
+++ b/packages/core/include/geraniumpulley/core/engines/engines.hpp
@@ -143,6 +143,8 @@
     WeightVersion version{}; ///< Minimum version that the engine has to serve.
     FencingToken fence{};
     std::string source; ///< Address of the engine to copy from; empty for the weight store.
+    /// The order is not sent after this time, at which this node may have lost the group.
+    Time sendBefore{};
 };
 /// Requests the reports of another node's engines.
 struct RequestReports
@@ -220,6 +222,8 @@
     /// Time without a confirmed claim after which an owner stops sending orders; equal to the
     /// silence timeout of the membership.
     Duration silenceTimeout = std::chrono::seconds(5);
+    /// The end of that time in which nothing is sent, so that orders on their way arrive within it.
+    Duration transitMargin = std::chrono::milliseconds(500);
     /// Minimum poll period of one engine.
     Duration pollPeriod = std::chrono::seconds(1);
     /// Time between two polls of any engines, which limits the poll rate of a node with many
--- a/packages/core/src/engines/group_claims.cpp
+++ b/packages/core/src/engines/group_claims.cpp
@@ -101,20 +101,22 @@
     claim.nextClaimAt = now + 2 * state.settings.silenceTimeout;
 }
 
+// Engines that check fencing refuse the orders of an owner that does not know it lost the group.
+Time ordersValidUntil(const EnginesState &state, const EngineGroup &group, const GroupClaim &claim)
+{
+    const Service *service = findService(*state.configuration, group.model);
+    if (service != nullptr && service->checksFencing)
+        return Time::max();
+    return claim.checkedAt + state.settings.silenceTimeout - state.settings.transitMargin;
+}
+
 bool isUsable(const EnginesState &state, const EngineGroup &group, Time now)
 {
     const auto position = state.groupClaims.find(group.key);
     if (position == state.groupClaims.end() || !position->second.held)
         return false;
     const GroupClaim &claim = position->second;
-    if (now < claim.usableFrom)
-        return false;
-    const Service *service = findService(*state.configuration, group.model);
-    // Engines that check fencing refuse the orders of an owner that does not know it lost the
-    // group.
-    if (service != nullptr && service->checksFencing)
-        return true;
-    return now < claim.checkedAt + state.settings.silenceTimeout;
+    return now >= claim.usableFrom && now < ordersValidUntil(state, group, claim);
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/src/engines/group_claims.hpp
+++ b/packages/core/src/engines/group_claims.hpp
@@ -20,6 +20,9 @@
 void onClaimRead(EnginesState &state, const GroupClaimRead &event, Time now,
                  std::vector<EnginesAction> &actions);
 
+/// \return until when orders may be sent under a held claim, unless it is confirmed anew.
+Time ordersValidUntil(const EnginesState &state, const EngineGroup &group, const GroupClaim &claim);
+
 /// Drops a claim; the group is not claimed again for twice the silence timeout.
 void dropClaim(EnginesState &state, GroupClaim &claim, Time now);
 
--- a/packages/core/src/engines/weight_swaps.cpp
+++ b/packages/core/src/engines/weight_swaps.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/core/engines/engines.hpp>
 
+#include "group_claims.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -162,7 +164,8 @@
         known.orderedVersion = this->desired;
         known.answerLost = false;
         this->actions.push_back(
-                OrderWeights{engine, this->desired, this->claim.fence, known.source});
+                OrderWeights{engine, this->desired, this->claim.fence, known.source,
+                             ordersValidUntil(this->state, this->group, this->claim)});
     }
 
     // Returns the number of the group's current swaps that load from a source.
--- a/packages/core/tests/unit-engines.cpp
+++ b/packages/core/tests/unit-engines.cpp
@@ -275,6 +275,30 @@
     }
 }
 
+// Guards against an order that waits for its connection until another node orders.
+TEST_CASE("an order is not sent after the time for which its claim was confirmed")
+{
+    Fixture fixture;
+    std::size_t orders = 0;
+    fixture.simulation.onAction = [&](std::size_t node, const EnginesAction &action) {
+        const auto *order = std::get_if<OrderWeights>(&action);
+        if (order == nullptr)
+            return;
+        ++orders;
+        const EnginesState &state = fixture.simulation.nodes[node].state;
+        Time confirmedUntil{};
+        for (const auto &[key, claim] : state.groupClaims) {
+            if (claim.held && claim.fence == order->fence)
+                confirmedUntil = claim.checkedAt + state.settings.silenceTimeout;
+        }
+        CHECK(order->sendBefore > fixture.simulation.now);
+        CHECK(order->sendBefore < confirmedUntil);
+    };
+    fixture.simulation.postWeights(5);
+    fixture.runUntilAllAt(5);
+    CHECK(orders > 0);
+}
+
 // Without fencing checks at the engines, the new owner waits for the silence timeout, after which
 // the former owner can no longer send orders.
 TEST_CASE("a new owner sends no orders before the former one has stopped sending them")
--- a/packages/node/src/engines_duty.cpp
+++ b/packages/node/src/engines_duty.cpp
@@ -91,6 +91,7 @@
         net::HttpRequest request = this->makeRequest(order.target, "POST", "/weights");
         request.body = codec::encodeWeightOrder(order);
         request.deadline = runtime::now() + weightOrderTimeout;
+        request.mayWrite = [sendBefore = order.sendBefore] { return runtime::now() < sendBefore; };
         request.done = [this, target = order.target.id,
                         version = order.version](net::HttpResult &&result) {
             this->push(this->toOrderResult(target, version, result));
