A holder that restarts goes on at once, if its earlier process had begun to act

Change: the holder writes which version of the lease is in use into a row beside it, once a term, on condition that the lease is unchanged. A process that finds its own id in the lease and that version in use knows that the process before it has waited, so that nobody else acts. Earlier builds pass over rows of unknown keys in that table.

--- a/packages/codec/include/geraniumpulley/codec/row_messages.hpp
+++ b/packages/codec/include/geraniumpulley/codec/row_messages.hpp
@@ -49,6 +49,9 @@
 std::string encodeHeartbeat(const core::NodeHeartbeat &heartbeat);
 core::Result<core::NodeHeartbeat> decodeHeartbeat(const std::string &bytes);
 
+std::string encodeLeaseInUse(const core::LeaseInUse &inUse);
+core::Result<core::LeaseInUse> decodeLeaseInUse(const std::string &bytes);
+
 std::string encodeWeightOrderLease(const core::WeightOrderLease &lease);
 core::Result<core::WeightOrderLease> decodeWeightOrderLease(const std::string &bytes,
                                                             core::RowVersion version);
--- a/packages/codec/src/row_messages.cpp
+++ b/packages/codec/src/row_messages.cpp
@@ -31,6 +31,7 @@
 using LongHeartbeatWire =
         decltype(std::tuple_cat(std::declval<HeartbeatWire>(), std::declval<ReachWire>()));
 using WeightOrderLeaseWire = std::tuple<std::string, std::uint64_t>;
+using LeaseInUseWire = std::tuple<std::uint64_t>;
 using SubmittedBodyWire = std::tuple<std::string, std::string, std::string>;
 using RowCopyWire = std::tuple<int, std::string, std::string, std::uint64_t>;
 using RowCopiesWire = std::tuple<std::vector<RowCopyWire>>;
@@ -249,6 +250,19 @@
     return core::WeightOrderLease{{holder}, incarnation, version};
 }
 
+std::string encodeLeaseInUse(const core::LeaseInUse &inUse)
+{
+    return pack(LeaseInUseWire{static_cast<std::uint64_t>(inUse.lease)});
+}
+
+core::Result<core::LeaseInUse> decodeLeaseInUse(const std::string &bytes)
+{
+    const auto wire = unpack<LeaseInUseWire>(bytes);
+    if (!wire)
+        return wire.error();
+    return core::LeaseInUse{core::RowVersion{std::get<0>(wire.value())}};
+}
+
 std::string encodeSubmittedBody(const SubmittedBody &submitted)
 {
     return pack(SubmittedBodyWire{submitted.host, submitted.path, submitted.body});
--- a/packages/codec/tests/unit-row_messages.cpp
+++ b/packages/codec/tests/unit-row_messages.cpp
@@ -51,6 +51,9 @@
 
 TEST_CASE("heartbeats, leases and relayed calls decode to the values that were encoded")
 {
+    const core::LeaseInUse inUse{core::RowVersion{7}};
+    CHECK(codec::decodeLeaseInUse(codec::encodeLeaseInUse(inUse)).value().lease == inUse.lease);
+    CHECK_FALSE(codec::decodeLeaseInUse("").has_value());
     const core::NodeHeartbeat heartbeat{{{"node"}, "a:1", "zone", 7}, 9, true, 500};
     const auto decodedHeartbeat = codec::decodeHeartbeat(codec::encodeHeartbeat(heartbeat));
     core::NodeHeartbeat cutOff = heartbeat;
--- a/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/fleet.hpp
@@ -39,9 +39,10 @@
     WeightVersion version{};
 };
 
-using FleetRecord = std::variant<std::monostate, std::shared_ptr<const RoutingTable>,
-                                 DesiredModelWeights, std::shared_ptr<const FleetTarget>,
-                                 NodeHeartbeat, BatchHead, WeightOrderLease, CrashRecord>;
+using FleetRecord =
+        std::variant<std::monostate, std::shared_ptr<const RoutingTable>, DesiredModelWeights,
+                     std::shared_ptr<const FleetTarget>, NodeHeartbeat, BatchHead, WeightOrderLease,
+                     LeaseInUse, CrashRecord>;
 
 struct FleetRow
 {
@@ -147,6 +148,11 @@
     WeightOrderLease lease;
     RowVersion expected{};
 };
+/// Writes that the lease is in use, on condition that it still has that version.
+struct WriteLeaseInUse
+{
+    LeaseInUse row;
+};
 /// Publishes a new snapshot to the other duties.
 struct PublishDirectory
 {
@@ -156,8 +162,8 @@
 };
 
 using FleetAction = std::variant<ReadTable, FollowTable, RequestPeerTables, WriteHeartbeat,
-                                 WriteWeightOrderLease, CheckLease, RequestEngineState,
-                                 SendWeightOrder, PublishDirectory>;
+                                 WriteWeightOrderLease, CheckLease, WriteLeaseInUse,
+                                 RequestEngineState, SendWeightOrder, PublishDirectory>;
 
 struct FleetSettings
 {
--- a/packages/core/include/geraniumpulley/core/fleet/leadership.hpp
+++ b/packages/core/include/geraniumpulley/core/fleet/leadership.hpp
@@ -21,6 +21,13 @@
     RowVersion version{};
 };
 
+/// A row that states that the holder of the lease of that version has begun to act. The holder
+/// before it had stopped by then.
+struct LeaseInUse
+{
+    RowVersion lease{};
+};
+
 /// Which node is the leader, which alone orders weights and targets and reports usage.
 struct Leadership
 {
@@ -56,6 +63,8 @@
     /// The time between two checks of the lease by its holder.
     Duration checkPeriod = std::chrono::milliseconds(500);
     Duration checkRetryDelay = std::chrono::milliseconds(100); ///< After a check without result.
+    /// The time between two writes that state that the lease is in use, until the store shows it.
+    Duration useWritePeriod = std::chrono::seconds(1);
 };
 
 /// What a node knows of the lease.
@@ -72,6 +81,9 @@
     Time checksCountAfter{};
     Time nextCheckAt{};
     bool checkInFlight = false;
+    /// The version of the lease that the store says is in use.
+    RowVersion versionInUse{};
+    Time nextUseWriteAt{};
 };
 
 /// \param leaseDuration how long a new holder waits; if it is short, margin and periods are too.
@@ -110,6 +122,13 @@
 /// \return when a check is due, or nothing while none is needed or one is in flight.
 std::optional<Time> leaseCheckDueAt(const LeadershipState &state);
 
+/// Records the row that states which lease is in use.
+void recordLeaseInUse(LeadershipState &state, const LeaseInUse &row);
+
+/// Called while this node acts as the leader.
+/// \return the row to write, if the store does not say yet that the lease is in use.
+std::optional<LeaseInUse> nextUseWrite(LeadershipState &state, Time now);
+
 /// \return the leadership as other parts of this node see it.
 Leadership leadershipOf(const LeadershipState &state);
 
--- a/packages/core/src/fleet/fleet.cpp
+++ b/packages/core/src/fleet/fleet.cpp
@@ -189,6 +189,7 @@
         removeLapsedTargets(this->state, this->now);
         this->advanceLease();
         this->checkLease();
+        this->writeLeaseInUse();
         this->publish();
         if (!weightOrderProof(this->state, this->now))
             return;
@@ -297,6 +298,16 @@
             this->actions.emplace_back(*check);
     }
 
+    // Its answer is not needed: the table shows the row.
+    void writeLeaseInUse()
+    {
+        FleetState &state = this->state;
+        if (!proofOf(leadershipOf(state), this->now))
+            return;
+        if (const auto row = nextUseWrite(state.leadership, this->now))
+            this->actions.emplace_back(WriteLeaseInUse{*row});
+    }
+
     void publish()
     {
         FleetState &state = this->state;
--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -101,6 +101,8 @@
             noteCrashesChanged(this->state);
     }
 
+    void operator()(const LeaseInUse &inUse) { recordLeaseInUse(this->state.leadership, inUse); }
+
     void operator()(const WeightOrderLease &lease) { noteLease(this->state, lease, this->now); }
 };
 
--- a/packages/core/src/fleet/leadership.cpp
+++ b/packages/core/src/fleet/leadership.cpp
@@ -34,19 +34,22 @@
     return state.lease.holder == state.self && state.lease.incarnation == state.incarnation;
 }
 
-// A new holder waits also after a release and after an earlier incarnation of its own: the holder
-// before that one may still be acting. Only the first holder ever has nobody to wait for; its write
-// was conditional on the absence of the row.
+// A new holder waits also after a release and after an earlier process of its own, since the holder
+// before may still be acting. It does not wait if that earlier process had begun to act, and has
+// thus waited itself. The first holder ever has nobody to wait for: its write was conditional on
+// the absence of the row.
 bool recordLease(LeadershipState &state, const WeightOrderLease &lease, Time now)
 {
     if (lease.version <= state.lease.version)
         return false;
     const bool isFirstTerm = state.lease.version == RowVersion{};
+    const bool wasActingHere =
+            state.lease.holder == state.self && state.versionInUse == state.lease.version;
     state.lease = lease;
     state.confirmedAt.reset();
     state.nextCheckAt = now;
     if (holdsLease(state))
-        state.actsFrom = isFirstTerm ? now : now + state.settings.leaseDuration;
+        state.actsFrom = isFirstTerm || wasActingHere ? now : now + state.settings.leaseDuration;
     return true;
 }
 
@@ -85,6 +88,19 @@
     return state.nextCheckAt;
 }
 
+void recordLeaseInUse(LeadershipState &state, const LeaseInUse &row)
+{
+    state.versionInUse = std::max(state.versionInUse, row.lease);
+}
+
+std::optional<LeaseInUse> nextUseWrite(LeadershipState &state, Time now)
+{
+    if (state.versionInUse == state.lease.version || now < state.nextUseWriteAt)
+        return std::nullopt;
+    state.nextUseWriteAt = now + state.settings.useWritePeriod;
+    return LeaseInUse{state.lease.version};
+}
+
 Leadership leadershipOf(const LeadershipState &state)
 {
     Leadership leadership{state.lease.holder,
--- a/packages/core/tests/leader/leadership_simulation.cpp
+++ b/packages/core/tests/leader/leadership_simulation.cpp
@@ -32,6 +32,8 @@
 {
     std::uint64_t version = 1;
     WeightOrderLease lease;
+    LeaseInUse inUse;
+    RowVersion batchesVersion{}; // Of the newest change of the batches table.
     std::map<NodeId, NodeHeartbeat> heartbeats;
     std::uint64_t desiredVersion = 2;
 };
@@ -247,7 +249,7 @@
         if (table == FleetTable::Routing)
             return RowVersion{this->store.desiredVersion};
         if (table == FleetTable::Batches)
-            return this->store.lease.version;
+            return this->store.batchesVersion;
         return {};
     }
 
@@ -273,6 +275,9 @@
         case FleetTable::Batches:
             if (this->store.lease.version != RowVersion{})
                 read.rows.push_back({"lease", this->store.lease.version, this->store.lease});
+            if (this->store.inUse.lease != RowVersion{})
+                read.rows.push_back(
+                        {"lease/in-use", this->store.batchesVersion, this->store.inUse});
             break;
         }
         return read;
@@ -344,12 +349,27 @@
                         return WeightOrderLeaseWriteCompleted{StoreOutcome::Conflict, {}};
                     this->store.lease = action.lease;
                     this->store.lease.version = RowVersion{++this->store.version};
+                    this->store.batchesVersion = this->store.lease.version;
                     return WeightOrderLeaseWriteCompleted{StoreOutcome::Committed,
                                                           this->store.lease.version};
                 },
                 WeightOrderLeaseWriteCompleted{StoreOutcome::Unknown, {}}, writeTimeout);
     }
 
+    void perform(Node &node, const WriteLeaseInUse &action)
+    {
+        this->write(
+                node,
+                [this, row = action.row]() -> FleetEvent {
+                    if (row.lease == this->store.lease.version) {
+                        this->store.inUse = row;
+                        this->store.batchesVersion = RowVersion{++this->store.version};
+                    }
+                    return FleetTick{};
+                },
+                FleetTick{}, writeTimeout);
+    }
+
     void perform(Node &node, const CheckLease &)
     {
         const Time sentAt = this->localTime(node);
--- a/packages/core/tests/leader/unit-leadership.cpp
+++ b/packages/core/tests/leader/unit-leadership.cpp
@@ -103,6 +103,39 @@
     CHECK(first.proof().has_value());
 }
 
+TEST_CASE("a holder that restarts goes on at once, if the process before it had begun to act")
+{
+    for (const bool wasInUse : {true, false}) {
+        CAPTURE(wasInUse);
+        LeadershipFixture fixture;
+        fixture.record("self", 1, 4);
+        recordLeaseInUse(fixture.state, {RowVersion{wasInUse ? 4U : 3U}});
+        fixture.record("self", 2, 5);
+        CHECK(fixture.state.actsFrom == (wasInUse ? fixture.now : fixture.now + leaseDuration));
+    }
+    // What another node used says nothing about when it stops.
+    LeadershipFixture fixture;
+    fixture.record("other", 1, 4);
+    recordLeaseInUse(fixture.state, {RowVersion{4}});
+    fixture.record("self", 2, 5);
+    CHECK(fixture.state.actsFrom == fixture.now + leaseDuration);
+}
+
+TEST_CASE("the store is told that the lease is in use until it shows it")
+{
+    LeadershipFixture fixture;
+    fixture.hold();
+    const auto write = nextUseWrite(fixture.state, fixture.now);
+    REQUIRE(write.has_value());
+    CHECK(write->lease == RowVersion{1});
+    CHECK_FALSE(nextUseWrite(fixture.state, fixture.now).has_value());
+    fixture.now += 1s;
+    CHECK(nextUseWrite(fixture.state, fixture.now).has_value());
+    recordLeaseInUse(fixture.state, *write);
+    fixture.now += 1s;
+    CHECK_FALSE(nextUseWrite(fixture.state, fixture.now).has_value());
+}
+
 TEST_CASE("a check from before a suspension or a release confirms nothing")
 {
     LeadershipFixture fixture;
--- a/packages/core/tests/leader/unit-leadership_property.cpp
+++ b/packages/core/tests/leader/unit-leadership_property.cpp
@@ -88,6 +88,21 @@
     CHECK(simulation.now() - simulation.lastOrder()->at < 500ms);
 }
 
+TEST_CASE("after all nodes have been killed the former holder orders soon under a new token")
+{
+    LeadershipSimulation simulation;
+    play(simulation, {});
+    const ReceivedCall before = *simulation.lastOrder();
+    for (std::size_t node = 0; node < simulation.nodeCount(); ++node)
+        simulation.begin(node, Trouble::Killed);
+    simulation.pass(1s);
+    simulation.recover();
+    simulation.pass(2s);
+    CHECK(simulation.lastOrder()->fence > before.fence);
+    CHECK(simulation.lastOrder()->node == before.node);
+    CHECK(findFencingViolation(simulation) == "");
+}
+
 TEST_CASE(
         "whatever happens to nodes, tokens rise, turns do not mix, and a sound fleet orders again")
 {
--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -62,6 +62,8 @@
 {
     if (row.name.key == weightOrderLeaseKey)
         return toRecord(codec::decodeWeightOrderLease(row.value, row.version));
+    if (row.name.key == leaseInUseKey)
+        return toRecord(codec::decodeLeaseInUse(row.value));
     if (codec::isCrashRecordKey(row.name.key))
         return toRecord(codec::decodeCrashRecord(row.name.key, row.value));
     if (!row.name.key.starts_with(headPrefix))
@@ -313,6 +315,17 @@
                  [this](StoreReply &&reply) { this->onLeaseWriteReply(reply); }});
     }
 
+    void perform(core::WriteLeaseInUse &&write)
+    {
+        platform::Transaction transaction;
+        transaction.conditions.push_back(
+                {{batchesTable, "", weightOrderLeaseKey}, write.row.lease});
+        transaction.writes.push_back(
+                {{batchesTable, "", leaseInUseKey}, codec::encodeLeaseInUse(write.row)});
+        this->parts.storeLink->send({platform::encodeTransaction(transaction), leaseWriteTimeout,
+                                     [](StoreReply &&) {}});
+    }
+
     void perform(core::CheckLease &&)
     {
         const std::string endKey = std::string(weightOrderLeaseKey) + ' ';
--- a/packages/entry/src/table_names.hpp
+++ b/packages/entry/src/table_names.hpp
@@ -18,6 +18,8 @@
 inline constexpr const char *batchesTable = "batches";
 inline constexpr const char *headPrefix = "head/";
 inline constexpr const char *weightOrderLeaseKey = "lease/weight-orders";
+/// Key of the row that states which version of that lease is in use.
+inline constexpr const char *leaseInUseKey = "lease/in-use";
 /// Table of the batch contents, with one partition for each batch.
 inline constexpr const char *contentsTable = "batch-contents";
 inline constexpr const char *ownerKey = "head"; ///< Copy of the batch head, with the same version.
