--- a/packages/core/tests/leader/leadership_simulation.cpp
+++ b/packages/core/tests/leader/leadership_simulation.cpp
@@ -218,7 +218,7 @@
             this->deliver(node, std::move(reply), this->now + delay);
     }
 
-    void read(Node &node, Call call, FleetEvent failure, Duration timeout)
+    void read(Node &node, const Call &call, FleetEvent failure, Duration timeout)
     {
         const Time failsAt = this->now + timeout;
         if (!node.reachesStore())
@@ -229,7 +229,7 @@
         });
     }
 
-    void write(Node &node, Call call, FleetEvent failure, Duration timeout)
+    void write(Node &node, const Call &call, FleetEvent failure, Duration timeout)
     {
         const Time failsAt = this->now + timeout;
         if (!node.reachesStore())
@@ -403,15 +403,16 @@
     {
         std::vector<PendingOrder> pending = std::exchange(node.pendingOrders, {});
         for (PendingOrder &entry : pending) {
-            if (entry.writeAt > this->now)
+            if (entry.writeAt > this->now) {
                 node.pendingOrders.push_back(std::move(entry));
-            else if (this->localTime(node) < entry.deadline && !node.has(Trouble::WithoutTargets))
+                continue;
+            }
+            if (this->localTime(node) < entry.deadline && !node.has(Trouble::WithoutTargets)) {
                 this->receiveOrder(node, entry.order);
-            else
-                this->deliver(
-                        node,
-                        WeightOrderReplyReceived{entry.order.target.id, WeightOrderReply::Unknown},
-                        this->now + tick);
+                continue;
+            }
+            const WeightOrderReplyReceived reply{entry.order.target.id, WeightOrderReply::Unknown};
+            this->deliver(node, reply, this->now + tick);
         }
     }
 
