--- a/packages/entry/src/fleet_duty.cpp
+++ b/packages/entry/src/fleet_duty.cpp
@@ -26,7 +26,7 @@
 constexpr core::Duration peerTimeout = std::chrono::milliseconds(500);
 constexpr core::Duration leaseWriteTimeout = std::chrono::milliseconds(1200);
 constexpr core::Duration engineTimeout = std::chrono::milliseconds(800);
-// A check that takes longer says little about the time at which it is answered.
+// Well below the time for which a check proves the lease, so that another one can follow.
 constexpr core::Duration leaseCheckTimeout = std::chrono::milliseconds(800);
 
 struct TablePartition
