--- a/packages/core/src/fleet/fleet_rows.cpp
+++ b/packages/core/src/fleet/fleet_rows.cpp
@@ -144,7 +144,7 @@
         std::visit(RowApplier{state, row, read.table, now}, row.record);
 }
 
-// Orders in progress belong to the term that has ended.
+// Orders in progress belong to the former holder's turn.
 void noteLease(FleetState &state, const WeightOrderLease &lease, Time now)
 {
     if (recordLease(state.leadership, lease, now))
--- a/packages/core/src/fleet/leadership.cpp
+++ b/packages/core/src/fleet/leadership.cpp
@@ -42,14 +42,14 @@
 {
     if (lease.version <= state.lease.version)
         return false;
-    const bool isFirstTerm = state.lease.version == RowVersion{};
+    const bool isFirstHolder = state.lease.version == RowVersion{};
     const bool wasActingHere =
             state.lease.holder == state.self && state.versionInUse == state.lease.version;
     state.lease = lease;
     state.confirmedAt.reset();
     state.nextCheckAt = now;
     if (holdsLease(state))
-        state.actsFrom = isFirstTerm || wasActingHere ? now : now + state.settings.leaseDuration;
+        state.actsFrom = isFirstHolder || wasActingHere ? now : now + state.settings.leaseDuration;
     return true;
 }
 
--- a/packages/core/tests/leader/unit-leadership.cpp
+++ b/packages/core/tests/leader/unit-leadership.cpp
@@ -103,6 +103,7 @@
     CHECK(first.proof().has_value());
 }
 
+// Guards against a restart that skips the wait which its earlier process had not finished.
 TEST_CASE("a holder that restarts goes on at once, if the process before it had begun to act")
 {
     for (const bool wasInUse : {true, false}) {
@@ -136,6 +137,7 @@
     CHECK_FALSE(nextUseWrite(fixture.state, fixture.now).has_value());
 }
 
+// Guards against a proof that a suspension or an own release has outdated.
 TEST_CASE("a check from before a suspension or a release confirms nothing")
 {
     LeadershipFixture fixture;
--- a/packages/core/tests/leader/unit-leadership_property.cpp
+++ b/packages/core/tests/leader/unit-leadership_property.cpp
@@ -88,6 +88,8 @@
     CHECK(simulation.now() - simulation.lastOrder()->at < 500ms);
 }
 
+// Guards against a wait for a former holder that is known to be gone: 3 s without orders after a
+// loss of power.
 TEST_CASE("after all nodes have been killed the former holder orders soon under a new token")
 {
     LeadershipSimulation simulation;
@@ -103,6 +105,8 @@
     CHECK(findFencingViolation(simulation) == "");
 }
 
+// Guards against two nodes that act as the leader at the same time, and against a proof so strict
+// that nobody acts.
 TEST_CASE(
         "whatever happens to nodes, tokens rise, turns do not mix, and a sound fleet orders again")
 {
