--- /dev/null
+++ b/packages/net/src/http_session.hpp
@@ -0,0 +1,412 @@
+#pragma once
+
+#include "http_server_implementation.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <utility>
+
+namespace geraniumpulley::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// A connection is closed when its client lags behind the response by more parts than this, which
+// bounds memory.
+inline constexpr std::size_t maxQueuedParts = 1024;
+
+// Size of the first read of a request; the rest of the header and the body use the same buffer.
+inline constexpr std::size_t firstReadBytes = 4096;
+
+// Room for one read of a body, behind which at most the limit of a header is buffered: chunk
+// extensions and trailers are parsed only when they are complete, and count as header.
+inline constexpr std::size_t bodyReadBytes = 16 * 1024;
+
+inline constexpr const char *requestIdHeader = "X-Request-Id";
+inline constexpr const char *queueFullResponseBody =
+        R"({"outcome":"not_run","reason":"queue_full"})";
+
+// One connection. Pending callbacks keep it alive; all of them run on the loop's thread.
+class HttpServer::Implementation::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(Implementation &server, Tcp::socket socket) : server(server), stream(std::move(socket))
+    {
+        this->server.addSession(*this);
+    }
+
+    ~Session()
+    {
+        this->releasePending();
+        this->releaseUnread(this->unreadBytes);
+        this->server.removeSession(*this);
+    }
+
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void read()
+    {
+        if (this->buffer.size() > 0)
+            return this->readHeader();
+        this->isIdle = true;
+        this->stream.expires_after(this->server.settings.idleTimeout);
+        this->stream.async_read_some(
+                this->buffer.prepare(firstReadBytes),
+                [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+                    self->isIdle = false;
+                    if (error == asio::error::operation_aborted && self->hasUnreadBytes())
+                        return self->read();
+                    if (error)
+                        return self->close();
+                    self->buffer.commit(size);
+                    self->readHeader();
+                });
+    }
+
+    void write(ServerResponse &&response)
+    {
+        if (response.abortConnection)
+            return this->close();
+        this->message = {};
+        this->message.version(11);
+        this->message.result(response.status);
+        if (!response.contentType.empty())
+            this->message.set(http::field::content_type, response.contentType);
+        for (const HttpHeader &header : response.headers)
+            this->message.insert(header.name, header.value);
+        if (!this->requestId.empty())
+            this->message.set(requestIdHeader, this->requestId);
+        this->message.body() = std::move(response.body);
+        this->keepAlive = this->keepAlive && !this->server.keepAliveDisabled;
+        this->message.keep_alive(this->keepAlive);
+        this->message.prepare_payload();
+        this->holdUnread(this->message.body().size());
+        this->stream.expires_after(this->server.settings.writeTimeout);
+        http::async_write(this->stream, this->message,
+                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              self->releaseUnread(self->unreadBytes);
+                              self->onWritten(error);
+                          });
+    }
+
+    // Bytes of responses that this connection holds.
+    [[nodiscard]] std::size_t heldBytes() const { return this->unreadBytes; }
+
+    // Whether this part may follow the parts so far. A response that begins a second time would
+    // reach the client within the body of the first.
+    [[nodiscard]] bool isInOrder(const ServerResponse &response) const
+    {
+        const bool begins =
+                response.part == ResponsePart::Whole || response.part == ResponsePart::First;
+        return response.abortConnection || begins != this->partsBegun;
+    }
+
+    // The pending read has possibly taken bytes off the socket already, so it is cancelled, and its
+    // handler closes the connection if no byte has arrived.
+    void closeIfIdle()
+    {
+        if (this->isIdle)
+            this->stream.cancel();
+    }
+
+    // Closes the connection of a client that does not read its response.
+    void giveUpUnread()
+    {
+        const core::ReplyToken token = this->currentToken;
+        if (this->server.pendingSessions.count(token) == 0)
+            return this->breakOff();
+        this->onClientDisconnected(token);
+    }
+
+    void breakOff()
+    {
+        this->releasePending();
+        this->close();
+    }
+
+    void writePart(ServerResponse &&response)
+    {
+        if (this->isClosed)
+            return;
+        this->partsBegun = true;
+        this->holdUnread(response.body.size());
+        this->parts.push_back(std::move(response));
+        if (this->parts.size() > maxQueuedParts)
+            return this->close();
+        if (this->parts.size() == 1)
+            this->writeNextPart();
+    }
+
+private:
+    void holdUnread(std::size_t bytes)
+    {
+        this->unreadBytes += bytes;
+        this->server.unreadBytes += bytes;
+    }
+
+    void releaseUnread(std::size_t bytes)
+    {
+        this->unreadBytes -= bytes;
+        this->server.unreadBytes -= bytes;
+    }
+
+    void readHeader()
+    {
+        this->buffer.max_size(std::max(this->server.settings.maxHeaderBytes + bodyReadBytes,
+                                       this->buffer.size() + bodyReadBytes));
+        this->parser.emplace();
+        this->parser->header_limit(
+                static_cast<std::uint32_t>(this->server.settings.maxHeaderBytes));
+        this->parser->body_limit(this->server.settings.maxBodyBytes);
+        this->stream.expires_after(this->server.settings.readTimeout);
+        http::async_read_header(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    self->onHeader(error);
+                });
+    }
+
+    [[nodiscard]] bool hasUnreadBytes()
+    {
+        beast::error_code error;
+        return this->stream.socket().available(error) > 0 && !error;
+    }
+
+    void writeNextPart()
+    {
+        ServerResponse &part = this->parts.front();
+        if (part.abortConnection)
+            return this->close();
+        this->chunk.clear();
+        auto append = [this](const auto &buffers) {
+            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
+                this->chunk.append(static_cast<const char *>(buffer.data()), buffer.size());
+        };
+        if (part.part == ResponsePart::First)
+            this->chunk = this->encodeHeader(part);
+        if (!part.body.empty())
+            append(http::make_chunk(asio::buffer(part.body)));
+        if (part.part == ResponsePart::Last)
+            append(http::make_chunk_last());
+        this->stream.expires_after(this->server.settings.writeTimeout);
+        asio::async_write(this->stream, asio::buffer(this->chunk),
+                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              self->onPartWritten(error);
+                          });
+    }
+
+    std::string encodeHeader(const ServerResponse &part)
+    {
+        this->keepAlive = this->keepAlive && !this->server.keepAliveDisabled;
+        http::response<http::empty_body> header;
+        header.version(11);
+        header.result(part.status);
+        if (!part.contentType.empty())
+            header.set(http::field::content_type, part.contentType);
+        for (const HttpHeader &field : part.headers)
+            header.insert(field.name, field.value);
+        if (!this->requestId.empty())
+            header.set(requestIdHeader, this->requestId);
+        header.keep_alive(this->keepAlive);
+        header.chunked(true);
+        std::ostringstream text;
+        text << header.base();
+        return text.str();
+    }
+
+    void onPartWritten(beast::error_code error)
+    {
+        if (error)
+            return this->close();
+        if (this->isClosed)
+            return;
+        const bool isLast = this->parts.front().part == ResponsePart::Last;
+        this->releaseUnread(this->parts.front().body.size());
+        this->parts.pop_front();
+        if (isLast)
+            return this->onWritten(error);
+        this->stream.expires_never();
+        if (!this->parts.empty())
+            this->writeNextPart();
+    }
+
+    void onHeader(beast::error_code error)
+    {
+        this->requestId.clear();
+        if (error)
+            return this->onRead(error);
+        this->requestId = std::string(this->parser->get()[requestIdHeader]);
+        if (this->parser->content_length().value_or(0) > this->server.settings.maxBodyBytes)
+            return this->reject(413, "body_too_large");
+        this->readBody();
+    }
+
+    // The limit for the bodies of all connections counts the bytes that have been read, not the
+    // announced lengths.
+    void readBody()
+    {
+        const std::size_t bytes = this->parser->get().body().size();
+        this->server.bufferedBytes += bytes - this->bufferedBytes;
+        this->bufferedBytes = bytes;
+        if (this->server.bufferedBytes > this->server.settings.maxBufferedBytes) {
+            ++this->server.memoryRefusals;
+            return this->reject(503, "queue_full");
+        }
+        if (this->parser->is_done())
+            return this->onRead({});
+        this->stream.expires_after(this->server.settings.readTimeout);
+        http::async_read_some(
+                this->stream, this->buffer, *this->parser,
+                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                    if (error)
+                        return self->onRead(error);
+                    self->readBody();
+                });
+    }
+
+    void onRead(beast::error_code error)
+    {
+        if (error == http::error::body_limit)
+            return this->reject(413, "body_too_large");
+        if (error == http::error::buffer_overflow)
+            ++this->server.memoryRefusals;
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return this->reject(431, "headers_too_large");
+        const bool isDisconnect = error == http::error::end_of_stream
+                                  || error == beast::error::timeout
+                                  || error == http::error::partial_message;
+        if (error && !isDisconnect
+            && error.category() == http::make_error_code(http::error::bad_method).category())
+            return this->reject(400, "malformed_request");
+        if (error)
+            return this->close();
+        this->dispatchRequest();
+    }
+
+    // Detects a client that disconnects while its request is being served.
+    void watchForDisconnect(core::ReplyToken token)
+    {
+        this->stream.socket().async_wait(Tcp::socket::wait_read, [self = this->shared_from_this(),
+                                                                  token](beast::error_code error) {
+            if (error || !self->responsePending || self->currentToken != token)
+                return;
+            if (self->isClientDisconnected())
+                self->onClientDisconnected(token);
+        });
+    }
+
+    bool isClientDisconnected()
+    {
+        char byte = 0;
+        beast::error_code error;
+        this->stream.socket().non_blocking(true, error);
+        const std::size_t size = this->stream.socket().receive(
+                asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+        return (error && error != asio::error::would_block) || (!error && size == 0);
+    }
+
+    void onClientDisconnected(core::ReplyToken token)
+    {
+        this->server.pendingSessions.erase(token);
+        this->releasePending();
+        this->close();
+        if (this->server.disconnectHandler)
+            this->server.disconnectHandler(token);
+    }
+
+    void dispatchRequest()
+    {
+        const auto &message = this->parser->get();
+        this->keepAlive = message.keep_alive();
+        ServerRequest request;
+        request.token = this->server.nextToken;
+        this->server.nextToken = core::next(request.token);
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &header : message)
+            request.headers.push_back(
+                    {std::string(header.name_string()), std::string(header.value())});
+        request.body = std::move(this->parser->get().body());
+        this->parser.reset();
+        this->stream.expires_never();
+        const core::ReplyToken token = request.token;
+        this->currentToken = token;
+        this->server.pendingSessions.emplace(token, this->shared_from_this());
+        this->responsePending = true;
+        this->partsBegun = false;
+        this->server.updatePendingResponses(true);
+        if (this->server.handler(std::move(request))) {
+            if (this->server.disconnectHandler)
+                this->watchForDisconnect(token);
+            return;
+        }
+        this->server.pendingSessions.erase(token);
+        this->write({token, 503, "application/json", {}, queueFullResponseBody, false});
+    }
+
+    void reject(std::uint32_t status, const char *reason)
+    {
+        this->keepAlive = false;
+        const std::string body =
+                std::string(R"({"outcome":"not_run","reason":")") + reason + R"("})";
+        this->write({core::ReplyToken{},
+                     status,
+                     "application/json",
+                     {{"X-Outcome", "not_run"}, {"X-Reason", reason}},
+                     body,
+                     false});
+    }
+
+    void releasePending()
+    {
+        this->server.bufferedBytes -= std::exchange(this->bufferedBytes, 0);
+        if (std::exchange(this->responsePending, false))
+            this->server.updatePendingResponses(false);
+    }
+
+    void onWritten(beast::error_code error)
+    {
+        this->releasePending();
+        if (error || !this->keepAlive)
+            return this->close();
+        this->read();
+        if (this->server.draining)
+            this->closeIfIdle();
+    }
+
+    void close()
+    {
+        this->isClosed = true;
+        this->releaseUnread(this->unreadBytes);
+        this->parts.clear();
+        beast::error_code ignored;
+        this->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        this->stream.close();
+    }
+
+    Implementation &server;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> message;
+    std::deque<ServerResponse> parts; // Of a chunked response; the first one is being written.
+    std::string chunk;
+    std::string requestId; // Echoed, so that the client can match the response.
+    std::size_t bufferedBytes = 0;
+    std::size_t unreadBytes = 0; // Of responses that are not written yet.
+    core::ReplyToken currentToken{};
+    bool responsePending = false;
+    bool partsBegun = false; // The first part of the pending response was accepted.
+    bool keepAlive = false;
+    bool isIdle = false; // No byte of a request has been read.
+    bool isClosed = false; // What is queued is dropped.
+};
+
+} // namespace geraniumpulley::net
