Connections that are held by slow clients give way to new ones

Callers saw: while a crowd held all 1,024 connections with bodies by the byte, each new connection was closed at once, for as long as the crowd liked. Each byte began the read timeout again, and nothing limited the whole request.

Now a new connection takes the place of the one whose client has kept the server waiting longest. Progress at 4 KiB/s counts against that time, so that a large body on a slow link stays and a byte now and then does not help. Requests in service are left alone: their time is bounded by their route. An incomplete request gets 503 with Retry-After, which is true, since nothing was passed on.

Ruled out: a time limit for a whole request, which cuts slow large bodies in calm as well; closing the oldest, which does the same beside a crowd.

--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -186,6 +186,9 @@
     text += fmt::format("peer_bytes {}\n", parts.peerLink->trafficBytes());
     text += fmt::format("requests_refused_for_memory {}\n",
                         parts.callerServer->memoryRefusalCount());
+    text += fmt::format("connections_displaced {}\n",
+                        parts.callerServer->displacedConnectionCount());
+    text += fmt::format("connections_refused {}\n", parts.callerServer->refusedConnectionCount());
     text += fmt::format("misplaced_responses {}\n", parts.callerServer->misplacedResponseCount());
     return answerStatus(*parts.metricsServer, request.token, core::status::ok, std::move(text));
 }
--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -57,6 +57,8 @@
 {
     std::string name = "door"; ///< Name of the thread.
     std::string address = "127.0.0.1:0"; ///< The system chooses the port when it is 0.
+    /// Beyond this, a new connection takes the place of the one whose client has made the server
+    /// wait longest, but for progress at the rate of a slow link.
     std::size_t maxConnections = 1024;
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 1024 * 1024;
@@ -131,6 +133,14 @@
     /// \return the number of responses that did not follow the parts sent before them.
     [[nodiscard]] std::uint64_t misplacedResponseCount() const;
 
+    /// \return the number of connections that were closed in favour of others while the server
+    /// waited for their clients.
+    [[nodiscard]] std::uint64_t displacedConnectionCount() const;
+
+    /// \return the number of connections that were closed at once, since all others had requests
+    /// in service.
+    [[nodiscard]] std::uint64_t refusedConnectionCount() const;
+
     /// \return the number of requests that were refused, and of connections that were closed,
     /// because of the memory that they would have taken.
     [[nodiscard]] std::uint64_t memoryRefusalCount() const;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,10 +1,15 @@
 #include "http_session.hpp"
 
+#include <geraniumpulley/core/limits/connection_use.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+
 #include <boost/algorithm/string/predicate.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace geraniumpulley::net {
 
@@ -41,17 +46,51 @@
     }
 }
 
-// A connection over the limit is closed at once to bound memory.
+// A connection over the limit takes the place of one whose client is awaited, or is closed at once
+// to bound memory.
 void HttpServer::Implementation::open(Tcp::socket socket)
 {
-    if (this->sessions.size() >= this->settings.maxConnections)
+    if (this->sessions.size() >= this->settings.maxConnections && !this->closeMostStalled()) {
+        ++this->refusedConnections;
         return;
+    }
     const auto session = std::make_shared<Session>(*this, std::move(socket));
     session->read();
     if (this->draining)
         session->closeIfIdle();
 }
 
+bool HttpServer::Implementation::closeMostStalled()
+{
+    const core::Time now = runtime::now();
+    const std::shared_ptr<Session> stalled = this->findLargest([now](const Session &session) {
+        return static_cast<double>(core::stalledTime(session.use(), now).count());
+    });
+    if (!stalled)
+        return false;
+    ++this->displacedConnections;
+    stalled->giveWay();
+    return true;
+}
+
+// Returns the connection with the largest value of those that may give way, or null; a negative
+// value keeps a connection.
+std::shared_ptr<HttpServer::Implementation::Session>
+HttpServer::Implementation::findLargest(const std::function<double(const Session &)> &valueOf)
+{
+    std::vector<std::pair<double, Session *>> candidates;
+    for (Session *session : this->sessions) {
+        const double value = session->awaitsClient() ? valueOf(*session) : -1;
+        if (value >= 0)
+            candidates.emplace_back(value, session);
+    }
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    const auto found =
+            std::find_if(candidates.begin(), candidates.end(),
+                         [](const auto &candidate) { return candidate.second->mayGiveWay(); });
+    return found == candidates.end() ? nullptr : found->second->shared_from_this();
+}
+
 void HttpServer::Implementation::beginDrain()
 {
     this->draining = true;
@@ -196,6 +235,16 @@
     return this->implementation->misplacedResponses;
 }
 
+std::uint64_t HttpServer::displacedConnectionCount() const
+{
+    return this->implementation->displacedConnections;
+}
+
+std::uint64_t HttpServer::refusedConnectionCount() const
+{
+    return this->implementation->refusedConnections;
+}
+
 std::uint64_t HttpServer::memoryRefusalCount() const
 {
     return this->implementation->memoryRefusals;
--- a/packages/net/src/http_server_implementation.hpp
+++ b/packages/net/src/http_server_implementation.hpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -41,6 +42,8 @@
     void accept();
     void acceptQueued();
     void open(Tcp::socket socket);
+    bool closeMostStalled();
+    std::shared_ptr<Session> findLargest(const std::function<double(const Session &)> &valueOf);
     void beginDrain();
     void addSession(Session &session);
     void removeSession(Session &session);
@@ -67,6 +70,8 @@
     std::atomic<bool> keepAliveDisabled = false;
     std::atomic<std::uint64_t> misplacedResponses = 0;
     std::atomic<std::uint64_t> memoryRefusals = 0;
+    std::atomic<std::uint64_t> displacedConnections = 0;
+    std::atomic<std::uint64_t> refusedConnections = 0;
     std::mutex mutex;
     std::condition_variable pendingChanged;
     int pendingResponses = 0; // Guarded by `mutex`.
--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -2,10 +2,17 @@
 
 #include "http_server_implementation.hpp"
 
+#include <geraniumpulley/core/limits/connection_use.hpp>
+#include <geraniumpulley/runtime/clock.hpp>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <chrono>
+#include <cstring>
 #include <deque>
 #include <optional>
 #include <sstream>
@@ -28,6 +35,9 @@
 // extensions and trailers are parsed only when they are complete, and count as header.
 inline constexpr std::size_t bodyReadBytes = 16 * 1024;
 
+// Sent with a refusal for want of connections or memory.
+inline constexpr std::chrono::seconds retryAfter{1};
+
 inline constexpr const char *requestIdHeader = "X-Request-Id";
 inline constexpr const char *queueFullResponseBody =
         R"({"outcome":"not_run","reason":"queue_full"})";
@@ -53,6 +63,7 @@
 
     void read()
     {
+        this->awaitClient();
         if (this->buffer.size() > 0)
             return this->readHeader();
         this->isIdle = true;
@@ -61,6 +72,8 @@
                 this->buffer.prepare(firstReadBytes),
                 [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
                     self->isIdle = false;
+                    if (self->isClosed)
+                        return;
                     if (error == asio::error::operation_aborted && self->hasUnreadBytes())
                         return self->read();
                     if (error)
@@ -88,6 +101,7 @@
         this->message.keep_alive(this->keepAlive);
         this->message.prepare_payload();
         this->holdUnread(this->message.body().size());
+        this->awaitReader();
         this->stream.expires_after(this->server.settings.writeTimeout);
         http::async_write(this->stream, this->message,
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
@@ -116,6 +130,28 @@
             this->stream.cancel();
     }
 
+    // Whether the server waits for the client, and not the client for the server.
+    [[nodiscard]] bool awaitsClient() const { return !this->isClosed && this->isAwaitingClient; }
+
+    [[nodiscard]] core::ConnectionUse use() const
+    {
+        return {this->awaitingSince, this->receivedBytes + this->buffer.size(), 0};
+    }
+
+    // Whether the connection may be closed in favour of another one: no request has just arrived.
+    bool mayGiveWay() { return !this->isIdle || !this->hasUnreadBytes(); }
+
+    void giveWay()
+    {
+        if (!this->isReading) {
+            this->giveUpUnread();
+        } else {
+            if (!this->isIdle)
+                this->refuseUnread();
+            this->breakOff();
+        }
+    }
+
     // Closes the connection of a client that does not read its response.
     void giveUpUnread()
     {
@@ -157,6 +193,35 @@
         this->server.unreadBytes -= bytes;
     }
 
+    void awaitClient()
+    {
+        this->isAwaitingClient = true;
+        this->awaitingSince = runtime::now();
+        this->receivedBytes = 0;
+        this->isReading = true;
+    }
+
+    void awaitReader()
+    {
+        this->isAwaitingClient = true;
+        this->awaitingSince = runtime::now();
+        this->receivedBytes = 0;
+        this->isReading = false;
+    }
+
+    // Answers a request that has not been read whole, as far as the client takes the answer without
+    // a wait.
+    void refuseUnread()
+    {
+        static const std::string response = fmt::format(
+                "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {}\r\nConnection: close\r\n"
+                "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
+                retryAfter.count(), std::strlen(queueFullResponseBody), queueFullResponseBody);
+        beast::error_code ignored;
+        this->stream.socket().non_blocking(true, ignored);
+        this->stream.socket().send(asio::buffer(response), 0, ignored);
+    }
+
     void readHeader()
     {
         this->buffer.max_size(std::max(this->server.settings.maxHeaderBytes + bodyReadBytes,
@@ -168,8 +233,10 @@
         this->stream.expires_after(this->server.settings.readTimeout);
         http::async_read_header(
                 this->stream, this->buffer, *this->parser,
-                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                    self->onHeader(error);
+                [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+                    self->receivedBytes += size;
+                    if (!self->isClosed)
+                        self->onHeader(error);
                 });
     }
 
@@ -195,6 +262,7 @@
             append(http::make_chunk(asio::buffer(part.body)));
         if (part.part == ResponsePart::Last)
             append(http::make_chunk_last());
+        this->awaitReader();
         this->stream.expires_after(this->server.settings.writeTimeout);
         asio::async_write(this->stream, asio::buffer(this->chunk),
                           [self = this->shared_from_this()](beast::error_code error, std::size_t) {
@@ -233,6 +301,7 @@
         if (isLast)
             return this->onWritten(error);
         this->stream.expires_never();
+        this->isAwaitingClient = false;
         if (!this->parts.empty())
             this->writeNextPart();
     }
@@ -264,7 +333,10 @@
         this->stream.expires_after(this->server.settings.readTimeout);
         http::async_read_some(
                 this->stream, this->buffer, *this->parser,
-                [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+                    self->receivedBytes += size;
+                    if (self->isClosed)
+                        return;
                     if (error)
                         return self->onRead(error);
                     self->readBody();
@@ -336,6 +408,8 @@
         request.body = std::move(this->parser->get().body());
         this->parser.reset();
         this->stream.expires_never();
+        this->isAwaitingClient = false;
+        this->isReading = false;
         const core::ReplyToken token = request.token;
         this->currentToken = token;
         this->server.pendingSessions.emplace(token, this->shared_from_this());
@@ -405,6 +479,10 @@
     bool responsePending = false;
     bool partsBegun = false; // The first part of the pending response was accepted.
     bool keepAlive = false;
+    core::Time awaitingSince{}; // When the server began to wait for the client.
+    std::size_t receivedBytes = 0; // Since then, without those in the buffer.
+    bool isAwaitingClient = false; // For a request, or for a response to be read.
+    bool isReading = false; // A request is awaited or incomplete.
     bool isIdle = false; // No byte of a request has been read.
     bool isClosed = false; // What is queued is dropped.
 };
--- /dev/null
+++ b/packages/net/tests/unit-connection_limits.cpp
@@ -0,0 +1,120 @@
+// Boost 1.74's asio.hpp uses std::exchange without including <utility>.
+#include <utility>
+
+#include <geraniumpulley/net/http_server.hpp>
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <list>
+#include <string>
+#include <thread>
+
+#include <sys/resource.h>
+
+using namespace geraniumpulley;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+// A server that answers each request with "ok" at once, except to "/held", which it never answers.
+struct LimitedServer
+{
+    explicit LimitedServer(const net::HttpServerSettings &settings)
+    {
+        this->server = std::move(net::HttpServer::create(
+                                         settings,
+                                         [this](net::ServerRequest &&request) {
+                                             this->lastToken = request.token;
+                                             if (request.target == "/held")
+                                                 return true;
+                                             net::ServerResponse response;
+                                             response.token = request.token;
+                                             response.body = "ok";
+                                             this->server->respond(std::move(response));
+                                             return true;
+                                         },
+                                         [this](core::ReplyToken) { ++this->disconnects; })
+                                         .value());
+    }
+
+    Tcp::socket connect(const std::string &bytes)
+    {
+        Tcp::socket socket(this->io);
+        socket.connect({asio::ip::make_address("127.0.0.1"), this->server->port()});
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        return socket;
+    }
+
+    // Reads until the server closes the connection.
+    static std::string readAll(Tcp::socket &socket)
+    {
+        std::string bytes;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(bytes), error);
+        return bytes;
+    }
+
+    std::string request()
+    {
+        Tcp::socket socket = this->connect("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+        return readAll(socket);
+    }
+
+    asio::io_context io;
+    std::atomic<core::ReplyToken> lastToken{};
+    std::atomic<int> disconnects = 0;
+    std::unique_ptr<net::HttpServer> server;
+};
+
+const std::string unfinished = "POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nx";
+const std::string held = "GET /held HTTP/1.1\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a new connection takes the place of one whose request does not come")
+{
+    net::HttpServerSettings settings;
+    settings.maxConnections = 4;
+    for (const std::string &beginning : {unfinished, std::string("POST / HT"), std::string()}) {
+        CAPTURE(beginning);
+        LimitedServer server(settings);
+        std::list<Tcp::socket> crowd;
+        for (int i = 0; i < 12; ++i)
+            crowd.push_back(server.connect(beginning));
+        CHECK(server.request().ends_with("ok"));
+        CHECK(server.server->displacedConnectionCount() >= 9);
+        CHECK(server.server->refusedConnectionCount() == 0);
+    }
+}
+
+TEST_CASE("a request that gives way learns that it has not run")
+{
+    net::HttpServerSettings settings;
+    settings.maxConnections = 1;
+    LimitedServer server(settings);
+    Tcp::socket first = server.connect(unfinished);
+    CHECK(server.request().ends_with("ok"));
+    const std::string answer = LimitedServer::readAll(first);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("a request in service keeps its connection")
+{
+    net::HttpServerSettings settings;
+    settings.maxConnections = 1;
+    LimitedServer server(settings);
+    Tcp::socket first = server.connect(held);
+    while (server.lastToken.load() == core::ReplyToken{})
+        std::this_thread::yield();
+    CHECK(server.request().empty());
+    CHECK(server.server->refusedConnectionCount() == 1);
+    CHECK(server.server->displacedConnectionCount() == 0);
+    CHECK(server.disconnects == 0);
+}
--- a/tests/live/platform_fleet.cpp
+++ b/tests/live/platform_fleet.cpp
@@ -96,6 +96,16 @@
                                service, this->connectAddress(name, name), software, models));
 }
 
+bool PlatformFleet::addWorker(const std::string &name, const std::string &service,
+                              const std::string &address)
+{
+    return this->writeRow(
+            "servers", name,
+            fmt::format(R"({{"service":"{}","address":"{}","zone":"zone","version":"v1",)"
+                        R"("slots":8,"state":"ready","sequence":0,"born":1}})",
+                        service, address));
+}
+
 void PlatformFleet::configureWorker(const std::string &name, const std::string &settings)
 {
     fetch(this->uriOf(name) + "/_worker", "POST", settings);
--- a/tests/live/platform_fleet.hpp
+++ b/tests/live/platform_fleet.hpp
@@ -3,6 +3,7 @@
 #include "child_process.hpp"
 #include "fleet.hpp"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
     /// service. \param software the version of its software that its row states.
     void startWorker(const std::string &name, const std::string &service, const std::string &model,
                      const std::string &software = "v1");
+    /// Adds the row of a worker of a plain service that a test runs itself.
+    bool addWorker(const std::string &name, const std::string &service, const std::string &address);
     ChildProcess &process(const std::string &name) { return *this->processes.at(name); }
     /// Changes how a running worker answers. \param settings JSON for its `/_worker` endpoint.
     void configureWorker(const std::string &name, const std::string &settings);
@@ -49,6 +52,8 @@
     /// of a worker replaces that worker's address for all nodes.
     std::map<std::string, std::string> proxyAddresses;
     std::string directory;
+    /// The memory that the settings of later nodes name; 0 for that of the machine.
+    std::size_t memoryMegabytes = 0;
 
 private:
     std::string uriOf(const std::string &name);
--- /dev/null
+++ b/tests/live/unit-live_held_connections.cpp
@@ -0,0 +1,101 @@
+#include "crowd.hpp"
+#include "platform_fleet.hpp"
+#include "raw_worker.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <string>
+
+// Crowds that stay connected while an ordinary client sends its request beside them.
+namespace {
+
+// The node takes 1,024 connections.
+constexpr std::size_t allConnections = 1100;
+constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t defaultHeaderBytes = 16384;
+// Together they hold 44 MB of bodies.
+constexpr std::size_t bodyHolders = 400;
+constexpr std::size_t heldBodyBytes = 110'000;
+constexpr std::size_t ordinaryBodyBytes = 4'000'000;
+
+std::string postHead(const std::string &fields)
+{
+    return "POST /lookup/1 HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: crowd\r\n" + fields
+           + "\r\n";
+}
+
+// The smallest fields that the format allows.
+std::string smallFields(std::size_t bytes)
+{
+    std::string fields;
+    while (fields.size() < bytes)
+        fields += "a:\r\n";
+    return fields;
+}
+
+std::string makeRoutingTable(std::size_t maxHeaderBytes)
+{
+    std::string table = live::makeRoutingTable(3);
+    const auto set = [&](const std::string &name, std::size_t from, std::size_t to) {
+        const std::string limit = fmt::format(R"("{}":{})", name, from);
+        table.replace(table.find(limit), limit.size(), fmt::format(R"("{}":{})", name, to));
+    };
+    set("max_body_bytes", 1048576, maxBodyBytes);
+    set("max_header_bytes", defaultHeaderBytes, maxHeaderBytes);
+    return table;
+}
+
+// Clients try again, each time on a new connection; a crowd that reopens its connections may be
+// first each time, but not for ever.
+bool isServed(live::PlatformFleet &fleet, const std::string &body)
+{
+    constexpr int maxTries = 20;
+    for (int i = 0; i < maxTries; ++i) {
+        const auto reply =
+                fleet.call("node-a", "POST", "/lookup/1", fmt::format("ordinary-{}", i), body);
+        if (reply.status == 200)
+            return true;
+    }
+    return false;
+}
+
+void checkNodeServesBeside(std::size_t size, const live::HoldingPattern &pattern,
+                           std::size_t maxHeaderBytes = defaultHeaderBytes,
+                           const std::string &ordinaryBody = "x")
+{
+    live::PlatformFleet fleet;
+    fleet.memoryMegabytes = live::smallestMachineMegabytes;
+    REQUIRE(fleet.writeRow("op", "config", makeRoutingTable(maxHeaderBytes)));
+    const live::RawWorker worker([](const live::RawWorker::Request &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                           "Content-Length: 2\r\n\r\nhi",
+                           request.header("X-Attempt-Id"));
+    });
+    fleet.addWorker("orders-1", "orders", worker.address());
+    fleet.startNode("node-a");
+    REQUIRE(fleet.waitUntilReady());
+    const live::ChildProcess &node = fleet.process("node-a");
+    {
+        const live::HoldingCrowd crowd(fleet.addresses.at("node-a/callers"), size, pattern);
+        CHECK(isServed(fleet, ordinaryBody));
+        const std::size_t descriptors = live::openDescriptors(node.id());
+        MESSAGE("descriptors beside the crowd: " << descriptors);
+        CHECK(descriptors < live::smallestMachineDescriptors);
+    }
+    CHECK(isServed(fleet, "x"));
+    const std::size_t peak = live::peakMegabytes(node.id());
+    MESSAGE("peak of the resident memory: " << peak << " MB");
+    CHECK(peak > 0);
+    CHECK(peak < live::smallestMachineMegabytes);
+    int status = 0;
+    CHECK_FALSE(fleet.process("node-a").hasEnded(status));
+}
+
+} // namespace
+
+// Guards against connections that a client keeps for ever by sending a byte now and then.
+TEST_CASE("on the platform clients that send bodies by the byte do not hold all connections")
+{
+    checkNodeServesBeside(allConnections, {postHead("Content-Length: 100000\r\n"), "x", true});
+}
