Requests are counted by the memory that they take, within one budget

Callers saw: nodes out of memory by heads, and beside a crowd that held 40 MB of incomplete bodies 503 queue_full for as long as it went on.

Cause: only the bytes of bodies were counted. A head of 16 KB holds 4,000 fields that take 80 bytes each in the parser, 64 in the request and 80 in an attempt; read buffers were not counted either. And who came last was refused, not who held the memory.

Now buffers, parsed heads and bodies count from the first byte until the response is written. Beyond the limit the incomplete request with the largest product of memory and time gives way. An idle connection keeps no buffer.

Ruled out: a limit on the number of fields, which a client inside max_header_bytes meets; giving way by size alone or by age alone (unit-connection_use).

--- a/packages/core/src/limits/connection_use.cpp
+++ b/packages/core/src/limits/connection_use.cpp
@@ -24,7 +24,9 @@
 // request that is larger, and few large ones an ordinary one that is a little older.
 double heldByteSeconds(const ConnectionUse &use, Time now)
 {
-    const std::chrono::duration<double> age = now - use.waitingSince;
+    // What is held counts from its first moment.
+    constexpr Duration leastAge = std::chrono::milliseconds(1);
+    const std::chrono::duration<double> age = std::max(now - use.waitingSince, leastAge);
     return static_cast<double>(use.heldBytes) * age.count();
 }
 
--- /dev/null
+++ b/packages/core/src/limits/memory_budget.cpp
@@ -0,0 +1,30 @@
+#include <geraniumpulley/core/limits/memory_budget.hpp>
+
+#include <algorithm>
+
+namespace geraniumpulley::core {
+namespace {
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+// More than this is of no use to callers, however large the machine is.
+constexpr MemoryBudget largestBudget{.requests = 40 * megabyte,
+                                     .unreadResponses = 24 * megabyte,
+                                     .targetResponses = 24 * megabyte,
+                                     .engineResponses = 24 * megabyte,
+                                     .storeResponses = 24 * megabyte};
+
+} // namespace
+
+// A third of the smallest machine (120 MB) holds one body of the largest size that operators allow
+// (32 MiB). The shares together leave an eighth of the machine to the rest of the process.
+MemoryBudget makeMemoryBudget(std::size_t machineBytes)
+{
+    return {.requests = std::min(machineBytes / 3, largestBudget.requests),
+            .unreadResponses = std::min(machineBytes / 8, largestBudget.unreadResponses),
+            .targetResponses = std::min(machineBytes / 8, largestBudget.targetResponses),
+            .engineResponses = std::min(machineBytes / 16, largestBudget.engineResponses),
+            .storeResponses = std::min(machineBytes / 8, largestBudget.storeResponses)};
+}
+
+} // namespace geraniumpulley::core
--- a/packages/entry/include/geraniumpulley/entry/settings.hpp
+++ b/packages/entry/include/geraniumpulley/entry/settings.hpp
@@ -2,7 +2,9 @@
 
 #include <geraniumpulley/core/configuration/configuration.hpp>
 #include <geraniumpulley/core/time.hpp>
+#include <geraniumpulley/runtime/machine.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -24,6 +26,8 @@
     core::Duration stopTimeout = std::chrono::seconds(8);
     /// Processor time available to the process, in thousandths of a core; 0 if unknown.
     std::uint32_t capacityMillicores = 0;
+    /// Memory of the machine that the process may use.
+    std::size_t memoryBytes = runtime::machineMemory();
     /// Address of the provider's API for usage reports and target orders; empty for none.
     std::string providerAddress;
     core::Duration usageWindow = std::chrono::seconds(5); ///< Length of a window of usage.
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -4,6 +4,7 @@
 #include "parts.hpp"
 #include "routes.hpp"
 
+#include <geraniumpulley/core/limits/memory_budget.hpp>
 #include <geraniumpulley/core/planned_stop.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -20,16 +21,14 @@
 
 using runtime::field;
 
-// Limit on the request bodies of all connections together: a third of the memory of the smallest
-// machine, and more than one body of the largest size that operators allow.
-constexpr std::size_t maxBufferedBytes = 40 * 1024 * 1024;
 constexpr std::size_t ringCapacity = 1024;
 
-net::HttpClientSettings clientSettings(const char *name)
+net::HttpClientSettings clientSettings(const char *name, std::size_t responseBytes)
 {
     net::HttpClientSettings settings;
     settings.name = name;
     settings.ringCapacity = ringCapacity;
+    settings.maxBufferedBytes = responseBytes;
     return settings;
 }
 
@@ -86,7 +85,10 @@
 
 struct Daemon::Implementation
 {
-    explicit Implementation(Settings settings) : settings(std::move(settings)) { }
+    explicit Implementation(Settings settings)
+        : settings(std::move(settings)), budget(core::makeMemoryBudget(this->settings.memoryBytes))
+    {
+    }
 
     // Stops the threads of all parts before any part is destroyed, because parts call each other.
     ~Implementation()
@@ -102,7 +104,6 @@
         stopPart(parts.peerLink);
         parts.fleet.stop();
         parts.calls.stop();
-        parts.batches.stop();
         parts.leader.stop();
     }
 
@@ -137,18 +138,22 @@
                       withPort(this->settings.callersAddress, parts.callerServer->port())),
                 field("readiness",
                       withPort(this->settings.readinessAddress, parts.readinessServer->port())),
-                field("peers", self.address), field("store", this->settings.storeAddress));
+                field("peers", self.address), field("store", this->settings.storeAddress),
+                field("request_memory", this->budget.requests));
         return boost::outcome_v2::success();
     }
 
     core::Result<void> openClients(std::uint64_t incarnation)
     {
         Parts &parts = this->parts;
-        BOOST_OUTCOME_TRY(targets, net::HttpClient::create(clientSettings("targets")));
+        BOOST_OUTCOME_TRY(targets, net::HttpClient::create(clientSettings(
+                                           "targets", this->budget.targetResponses)));
         parts.targetClient = std::move(targets);
-        BOOST_OUTCOME_TRY(engines, net::HttpClient::create(clientSettings("engines")));
+        BOOST_OUTCOME_TRY(engines, net::HttpClient::create(clientSettings(
+                                           "engines", this->budget.engineResponses)));
         parts.engineClient = std::move(engines);
-        BOOST_OUTCOME_TRY(store, net::HttpClient::create(clientSettings("store")));
+        BOOST_OUTCOME_TRY(store, net::HttpClient::create(
+                                         clientSettings("store", this->budget.storeResponses)));
         parts.storeClient = std::move(store);
         net::PeerLinkSettings peerSettings;
         peerSettings.address = this->settings.peersAddress;
@@ -173,7 +178,8 @@
         net::HttpServerSettings serverSettings;
         serverSettings.name = "callers";
         serverSettings.address = this->settings.callersAddress;
-        serverSettings.maxBufferedBytes = maxBufferedBytes;
+        serverSettings.maxRequestBytes = this->budget.requests;
+        serverSettings.maxUnreadBytes = this->budget.unreadResponses;
         BOOST_OUTCOME_TRY(callers, net::HttpServer::create(
                                            serverSettings,
                                            [&parts](net::ServerRequest &&request) {
@@ -211,6 +217,7 @@
     }
 
     Settings settings;
+    const core::MemoryBudget budget;
     Parts parts;
 };
 
@@ -254,7 +261,6 @@
     parts.storeLink->drainRelays(schedule.exitsAt);
     parts.calls.inbox().push(core::EntryDraining{schedule.answersDueAt});
     parts.fleet.inbox().push(core::FleetDraining{});
-    parts.batches.inbox().push(core::BatchDraining{schedule.answersDueAt});
     if (parts.hasLeaderDuty)
         parts.leader.inbox().push(core::LeaderDraining{});
     // All parts finish beside each other; the waits below only observe them, up to one deadline.
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -142,6 +142,22 @@
     return 0;
 }
 
+// Without a value it is the memory that the system reports.
+std::size_t readMemory(JsonReader &reader, std::size_t fallback)
+{
+    constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::uint64_t minMegabytes = 64;
+    constexpr std::uint64_t maxMegabytes = 1024 * 1024;
+    const std::optional<double> megabytes = reader.readOptionalReal("memory_mb");
+    if (!megabytes)
+        return fallback;
+    if (*megabytes >= minMegabytes && *megabytes <= maxMegabytes)
+        return static_cast<std::size_t>(*megabytes) * bytesPerMegabyte;
+    reader.report("memory_mb", "is out of range",
+                  fmt::format("a number from {} to {}", minMegabytes, maxMegabytes));
+    return fallback;
+}
+
 } // namespace
 
 bool isForPlatform(const std::string &text)
@@ -174,6 +190,7 @@
     settings.leaseDuration =
             readDuration<Milliseconds>(reader, "lease_time_ms", settings.leaseDuration);
     settings.capacityMillicores = readCapacityMillicores(reader);
+    settings.memoryBytes = readMemory(reader, settings.memoryBytes);
     settings.providerAddress = readProviderAddress(reader);
     settings.usageWindow = readDuration<Seconds>(reader, "usage_window_s", settings.usageWindow);
     settings.usageDueAfter = readDuration<Seconds>(reader, "usage_due_s", settings.usageDueAfter);
--- a/packages/entry/tests/unit-settings.cpp
+++ b/packages/entry/tests/unit-settings.cpp
@@ -219,3 +219,16 @@
     CHECK(parsed.settings.usageWindow == 2500ms);
     CHECK(parsed.settings.usageDueAfter == 8s);
 }
+
+TEST_CASE("the memory is that of the machine, unless the settings name another")
+{
+    CHECK(entry::parseSettings(settingsText).settings.memoryBytes == runtime::machineMemory());
+    const auto withMemory = [](const std::string &value) {
+        return entry::parseSettings(replaced(settingsText, R"("core_share")",
+                                             R"("memory_mb":)" + value + R"(,"core_share")"));
+    };
+    CHECK(withMemory("120").settings.memoryBytes == 120U * 1024 * 1024);
+    CHECK(withMemory("null").problems.empty());
+    for (const char *value : {"0", "63", "-1", "1e12", R"("120")"})
+        CHECK(withMemory(value).problems.size() == 1);
+}
--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -62,8 +62,10 @@
     std::size_t maxConnections = 1024;
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 1024 * 1024;
-    /// Limit for the total size of the request bodies buffered on all connections.
-    std::size_t maxBufferedBytes = 32 * 1024 * 1024;
+    /// Limit for the memory of the requests on all connections, from their first bytes until their
+    /// responses are written. Beyond it, the connections whose incomplete requests have occupied
+    /// most memory for the longest time are closed.
+    std::size_t maxRequestBytes = 32 * 1024 * 1024;
     /// Limit for the total size of the responses that clients have not read. Beyond it, the
     /// connection that holds most of them is closed.
     std::size_t maxUnreadBytes = 24 * 1024 * 1024;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -73,6 +74,31 @@
     return true;
 }
 
+// Connections whose requests are incomplete give way, so that a few clients cannot use up the
+// memory of all. Requests in service stay; a request that does not fit beside them gives way
+// itself.
+void HttpServer::Implementation::limitRequestBytes()
+{
+    const core::Time now = runtime::now();
+    const auto occupied = [now](const Session &session) {
+        const core::ConnectionUse use = session.use();
+        return use.heldBytes > 0 ? core::heldByteSeconds(use, now) : -1;
+    };
+    const auto total = [this] {
+        return std::accumulate(this->sessions.begin(), this->sessions.end(), std::size_t{0},
+                               [](std::size_t sum, const Session *session) {
+                                   return sum + session->requestBytes();
+                               });
+    };
+    while (total() > this->settings.maxRequestBytes) {
+        const std::shared_ptr<Session> largest = this->findLargest(occupied);
+        if (!largest)
+            return;
+        ++this->memoryRefusals;
+        largest->giveWay();
+    }
+}
+
 // Returns the connection with the largest value of those that may give way, or null; a negative
 // value keeps a connection.
 std::shared_ptr<HttpServer::Implementation::Session>
--- a/packages/net/src/http_server_implementation.hpp
+++ b/packages/net/src/http_server_implementation.hpp
@@ -48,6 +48,7 @@
     void addSession(Session &session);
     void removeSession(Session &session);
     void reportDrained();
+    void limitRequestBytes();
     void limitUnreadBytes();
     void handle(Command &&command);
     void respond(ServerResponse &&response);
@@ -79,7 +80,6 @@
     // This and all members below are used on the loop's thread only.
     std::set<Session *> sessions;
     bool draining = false;
-    std::size_t bufferedBytes = 0; // Of request bodies without a response yet.
     std::size_t unreadBytes = 0; // Of responses that are not written yet.
     detail::EventLoop<Command> loop;
     Tcp::acceptor acceptor;
--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -66,6 +66,7 @@
         this->awaitClient();
         if (this->buffer.size() > 0)
             return this->readHeader();
+        this->releaseBuffers();
         this->isIdle = true;
         this->stream.expires_after(this->server.settings.idleTimeout);
         this->stream.async_read_some(
@@ -87,6 +88,7 @@
     {
         if (response.abortConnection)
             return this->close();
+        this->releaseRequest();
         this->message = {};
         this->message.version(11);
         this->message.result(response.status);
@@ -135,7 +137,18 @@
 
     [[nodiscard]] core::ConnectionUse use() const
     {
-        return {this->awaitingSince, this->receivedBytes + this->buffer.size(), 0};
+        return {this->awaitingSince, this->receivedBytes + this->buffer.size(),
+                this->isReading ? this->requestBytes() : 0};
+    }
+
+    // Memory of the request and of what follows it, from its first byte until its response is
+    // written.
+    [[nodiscard]] std::size_t requestBytes() const
+    {
+        if (this->isClosed)
+            return 0;
+        const std::size_t body = this->parser ? this->parser->get().body().size() : 0;
+        return this->buffer.capacity() + this->headBytes + this->servedBodyBytes + body;
     }
 
     // Whether the connection may be closed in favour of another one: no request has just arrived.
@@ -201,6 +214,15 @@
         this->isReading = true;
     }
 
+    // An idle connection holds no memory.
+    void releaseBuffers()
+    {
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+        this->message = {};
+        this->chunk = std::string();
+    }
+
     void awaitReader()
     {
         this->isAwaitingClient = true;
@@ -236,7 +258,7 @@
                 [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
                     self->receivedBytes += size;
                     if (!self->isClosed)
-                        self->onHeader(error);
+                        self->onHeader(error, size);
                 });
     }
 
@@ -306,28 +328,35 @@
             this->writeNextPart();
     }
 
-    void onHeader(beast::error_code error)
+    // What a head takes as the fields of the parser, of the request and of one attempt at a target.
+    [[nodiscard]] std::size_t costOfHead(std::size_t headerBytes) const
+    {
+        constexpr std::size_t copies = 3;
+        constexpr std::size_t bytesPerField = 224;
+        const auto &fields = this->parser->get();
+        const auto count = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+        return copies * headerBytes + bytesPerField * count;
+    }
+
+    void onHeader(beast::error_code error, std::size_t headerBytes)
     {
         this->requestId.clear();
         if (error)
             return this->onRead(error);
         this->requestId = std::string(this->parser->get()[requestIdHeader]);
+        this->headBytes = this->costOfHead(headerBytes);
         if (this->parser->content_length().value_or(0) > this->server.settings.maxBodyBytes)
             return this->reject(413, "body_too_large");
         this->readBody();
     }
 
-    // The limit for the bodies of all connections counts the bytes that have been read, not the
-    // announced lengths.
+    // The limit for all connections counts the bytes that have been read, not the announced
+    // lengths.
     void readBody()
     {
-        const std::size_t bytes = this->parser->get().body().size();
-        this->server.bufferedBytes += bytes - this->bufferedBytes;
-        this->bufferedBytes = bytes;
-        if (this->server.bufferedBytes > this->server.settings.maxBufferedBytes) {
-            ++this->server.memoryRefusals;
-            return this->reject(503, "queue_full");
-        }
+        this->server.limitRequestBytes();
+        if (this->isClosed)
+            return;
         if (this->parser->is_done())
             return this->onRead({});
         this->stream.expires_after(this->server.settings.readTimeout);
@@ -406,6 +435,7 @@
             request.headers.push_back(
                     {std::string(header.name_string()), std::string(header.value())});
         request.body = std::move(this->parser->get().body());
+        this->servedBodyBytes = request.body.size();
         this->parser.reset();
         this->stream.expires_never();
         this->isAwaitingClient = false;
@@ -438,9 +468,15 @@
                      false});
     }
 
+    void releaseRequest()
+    {
+        this->headBytes = 0;
+        this->servedBodyBytes = 0;
+    }
+
     void releasePending()
     {
-        this->server.bufferedBytes -= std::exchange(this->bufferedBytes, 0);
+        this->releaseRequest();
         if (std::exchange(this->responsePending, false))
             this->server.updatePendingResponses(false);
     }
@@ -473,7 +509,8 @@
     std::deque<ServerResponse> parts; // Of a chunked response; the first one is being written.
     std::string chunk;
     std::string requestId; // Echoed, so that the client can match the response.
-    std::size_t bufferedBytes = 0;
+    std::size_t headBytes = 0; // Memory of the head of the request, once it is complete.
+    std::size_t servedBodyBytes = 0; // Of the body of the request in service.
     std::size_t unreadBytes = 0; // Of responses that are not written yet.
     core::ReplyToken currentToken{};
     bool responsePending = false;
--- a/packages/net/tests/unit-connection_limits.cpp
+++ b/packages/net/tests/unit-connection_limits.cpp
@@ -118,3 +118,20 @@
     CHECK(server.server->displacedConnectionCount() == 0);
     CHECK(server.disconnects == 0);
 }
+
+TEST_CASE("heads count by what their fields take, and give way to an ordinary request")
+{
+    net::HttpServerSettings settings;
+    settings.maxRequestBytes = 2 * 1024 * 1024;
+    LimitedServer server(settings);
+    std::string head = "POST / HTTP/1.1\r\nContent-Length: 100\r\n";
+    while (head.size() < 16'000)
+        head += "a:\r\n";
+    std::list<Tcp::socket> crowd;
+    for (int i = 0; i < 12; ++i) {
+        crowd.push_back(server.connect(head + "\r\n"));
+        CHECK(server.request().ends_with("ok"));
+    }
+    CHECK(server.server->memoryRefusalCount() > 0);
+    CHECK(server.server->memoryRefusalCount() < 12);
+}
--- a/tests/live/unit-live_held_connections.cpp
+++ b/tests/live/unit-live_held_connections.cpp
@@ -99,3 +99,30 @@
 {
     checkNodeServesBeside(allConnections, {postHead("Content-Length: 100000\r\n"), "x", true});
 }
+
+// Guards against a limit on all bodies that a few clients use up.
+TEST_CASE("on the platform clients that hold the memory for bodies do not stop the others")
+{
+    checkNodeServesBeside(
+            bodyHolders,
+            {postHead("Content-Length: 120000\r\n") + std::string(heldBodyBytes, 'x'), "", false},
+            defaultHeaderBytes, std::string(ordinaryBodyBytes, 'x'));
+}
+
+// Guards against parsed heads that take many times the memory of their bytes.
+TEST_CASE("on the platform heads of many small fields do not fill the node's memory")
+{
+    constexpr std::size_t clients = 48;
+    constexpr std::size_t headerBytes = 256 * 1024;
+    checkNodeServesBeside(
+            clients,
+            {postHead("Content-Length: 1000\r\n" + smallFields(headerBytes - 200)), "", false},
+            headerBytes);
+}
+
+// Guards against heads that fit one by one, but not on all connections together.
+TEST_CASE("on the platform heads of many small fields on all connections fit the memory")
+{
+    checkNodeServesBeside(1000,
+                          {postHead("Content-Length: 1000\r\n" + smallFields(16000)), "", false});
+}
