Unread parts of a stream count with their bookkeeping

Callers could hold 1,024 parts of one byte on each connection unread: some 190 bytes of bookkeeping for each counted byte, and the part that was being written lay in memory twice.

The size of a part counts now, and its body moves into the chunk that is written. In unit-connection_limits 700 parts of one byte are queued before the first is written, at a limit of 64 KB; without the change the connection stays and nothing is counted (700 bytes).

--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -185,7 +185,7 @@
         if (this->isClosed)
             return;
         this->partsBegun = true;
-        this->holdUnread(response.body.size());
+        this->holdUnread(sizeof(ServerResponse) + response.body.size());
         this->parts.push_back(std::move(response));
         if (this->parts.size() > maxQueuedParts)
             return this->close();
@@ -278,10 +278,12 @@
             for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
                 this->chunk.append(static_cast<const char *>(buffer.data()), buffer.size());
         };
+        this->writtenPartBytes = sizeof(ServerResponse) + part.body.size();
         if (part.part == ResponsePart::First)
             this->chunk = this->encodeHeader(part);
         if (!part.body.empty())
             append(http::make_chunk(asio::buffer(part.body)));
+        part.body = std::string(); // The chunk holds it now.
         if (part.part == ResponsePart::Last)
             append(http::make_chunk_last());
         this->awaitReader();
@@ -318,7 +320,7 @@
         if (this->isClosed)
             return;
         const bool isLast = this->parts.front().part == ResponsePart::Last;
-        this->releaseUnread(this->parts.front().body.size());
+        this->releaseUnread(this->writtenPartBytes);
         this->parts.pop_front();
         if (isLast)
             return this->onWritten(error);
@@ -511,6 +513,7 @@
     std::string requestId; // Echoed, so that the client can match the response.
     std::size_t headBytes = 0; // Memory of the head of the request, once it is complete.
     std::size_t servedBodyBytes = 0; // Of the body of the request in service.
+    std::size_t writtenPartBytes = 0; // Held by the part that is being written.
     std::size_t unreadBytes = 0; // Of responses that are not written yet.
     core::ReplyToken currentToken{};
     bool responsePending = false;
--- a/packages/net/tests/unit-connection_limits.cpp
+++ b/packages/net/tests/unit-connection_limits.cpp
@@ -135,3 +135,38 @@
     CHECK(server.server->memoryRefusalCount() > 0);
     CHECK(server.server->memoryRefusalCount() < 12);
 }
+
+// Guards against parts whose bookkeeping takes more than their bytes. All parts are queued before
+// the first one is written.
+TEST_CASE("the memory of unread parts counts the parts themselves")
+{
+    constexpr int parts = 700;
+    net::HttpServerSettings settings;
+    settings.maxUnreadBytes = 64 * 1024;
+    std::atomic<int> disconnects = 0;
+    std::unique_ptr<net::HttpServer> server;
+    server = std::move(net::HttpServer::create(
+                               settings,
+                               [&server](net::ServerRequest &&request) {
+                                   for (int i = 0; i < parts; ++i) {
+                                       net::ServerResponse part;
+                                       part.token = request.token;
+                                       part.part = i == 0 ? net::ResponsePart::First
+                                                          : net::ResponsePart::More;
+                                       part.body = "x";
+                                       server->respond(std::move(part));
+                                   }
+                                   return true;
+                               },
+                               [&disconnects](core::ReplyToken) { ++disconnects; })
+                               .value());
+    asio::io_context io;
+    Tcp::socket reader(io);
+    reader.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+    asio::write(reader, asio::buffer(held));
+    LimitedServer::readAll(reader);
+    // The connection is closed before the callback runs.
+    server->stop();
+    CHECK(server->memoryRefusalCount() == 1);
+    CHECK(disconnects == 1);
+}
