Attempts share the body of their request

Callers saw: one safe request inside the limits, 32 MiB, alone in calm, at targets that stay silent, took a node over the memory of the smallest machine, since each hedged attempt copied the body.

The body is immutable once it has been read: EntryCall and HttpRequest hold core::SharedBytes.

--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -14,6 +14,7 @@
 #include <geraniumpulley/core/identifier.hpp>
 #include <geraniumpulley/core/limits/permits.hpp>
 #include <geraniumpulley/core/limits/request_rate.hpp>
+#include <geraniumpulley/core/shared_bytes.hpp>
 #include <geraniumpulley/core/time.hpp>
 
 #include <cstdint>
@@ -40,7 +41,7 @@
     std::optional<AccountName> account; ///< Set if the routing table has accounts.
     std::string requestId; ///< Identifies this attempt of the client.
     std::vector<HttpHeader> headers; ///< End-to-end headers, without hop-by-hop ones.
-    std::string body;
+    SharedBytes body;
     std::optional<Duration> timeout; ///< How long the client waits, if it states a limit.
     std::uint64_t lastEventId = 0; ///< The last stream event that the client received.
     /// The attempt of the client that brought the first event of a stream that it takes up.
--- a/packages/core/src/calls/crash_log.cpp
+++ b/packages/core/src/calls/crash_log.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace geraniumpulley::core {
 namespace {
@@ -22,10 +23,15 @@
 RequestDigest digestOf(std::initializer_list<std::string_view> parts)
 {
     // The length before each part distinguishes ("ab", "c") from ("a", "bc").
-    std::string joined;
-    for (const std::string_view part : parts)
-        joined.append(std::to_string(part.size())).append(":").append(part);
-    const XXH128_hash_t hash = XXH3_128bits(joined.data(), joined.size());
+    const std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t *)> state(XXH3_createState(),
+                                                                                 XXH3_freeState);
+    XXH3_128bits_reset(state.get());
+    for (const std::string_view part : parts) {
+        const std::string length = std::to_string(part.size()) + ":";
+        XXH3_128bits_update(state.get(), length.data(), length.size());
+        XXH3_128bits_update(state.get(), part.data(), part.size());
+    }
+    const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
     constexpr std::string_view digits = "0123456789abcdef";
     constexpr unsigned bitsPerDigit = 4;
     constexpr unsigned wordBits = 64;
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -659,8 +659,8 @@
     {
         const EntryCall &call = *request.call;
         if (!request.digest)
-            request.digest =
-                    digestOf({call.credentials, call.host, call.method, call.target, call.body});
+            request.digest = digestOf(
+                    {call.credentials, call.host, call.method, call.target, call.body.str()});
         return *request.digest;
     }
 
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/result.hpp>
+#include <geraniumpulley/core/shared_bytes.hpp>
 #include <geraniumpulley/core/time.hpp>
 #include <geraniumpulley/net/http_server.hpp>
 
@@ -57,7 +58,7 @@
     std::string method;
     std::string target;
     std::string contentType;
-    std::string body;
+    core::SharedBytes body;
     /// Sent as `idHeader`. A response with another id is `AnswerLost`, and so is one without an id
     /// on a reused connection.
     std::string requestId;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -186,7 +186,7 @@
         this->message.version(11);
         this->message.method_string(this->request.method);
         this->message.target(this->request.target);
-        for (const core::HttpHeader &header : this->request.headers)
+        for (const core::HttpHeader &header : std::exchange(this->request.headers, {}))
             this->message.insert(header.name, header.value);
         this->message.set(http::field::host,
                           this->request.host.empty() ? this->request.address : this->request.host);
@@ -196,7 +196,8 @@
             this->message.set(this->request.idHeader, this->request.requestId);
         if (!this->request.contentType.empty())
             this->message.set(http::field::content_type, this->request.contentType);
-        this->message.body() = std::move(this->request.body);
+        const std::string &body = this->request.body;
+        this->message.body() = {body.data(), body.size()};
         this->message.prepare_payload();
         this->restartReadTimeout();
         this->setResetOnClose(true);
@@ -421,7 +422,7 @@
     Implementation &client;
     std::shared_ptr<Connection> connection;
     HttpRequest request;
-    http::request<http::string_body> message;
+    http::request<http::span_body<const char>> message; // Refers to the body of `request`.
     std::optional<http::response_parser<http::string_body>> parser;
     bool writeStarted = false;
     std::size_t bufferedBytes = 0; // Of the response so far, not counting delivered parts.
--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -433,6 +433,8 @@
         this->server.nextToken = core::next(request.token);
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
+        request.headers.reserve(
+                static_cast<std::size_t>(std::distance(message.begin(), message.end())));
         for (const auto &header : message)
             request.headers.push_back(
                     {std::string(header.name_string()), std::string(header.value())});
--- /dev/null
+++ b/tests/live/unit-live_hostile_requests.cpp
@@ -0,0 +1,110 @@
+#include "crowd.hpp"
+#include "platform_fleet.hpp"
+#include "raw_worker.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include <sys/socket.h>
+#include <sys/time.h>
+
+// Single requests that end or confuse a node.
+namespace {
+
+namespace asio = boost::asio;
+
+std::string lookupHead(const std::string &method, const std::string &fields)
+{
+    return method + " /lookup/1 HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: hostile\r\n"
+           + fields + "\r\n";
+}
+
+// Sends bytes, then reads until the node closes the connection.
+std::string sendAndRead(const std::string &address, const std::string &bytes)
+{
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    const std::size_t colon = address.rfind(':');
+    boost::system::error_code error;
+    socket.connect({asio::ip::make_address(address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))},
+                   error);
+    // A node that keeps the connection open must not block the test.
+    const timeval readTimeout{3, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &readTimeout, sizeof(readTimeout));
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+struct OneNode
+{
+    explicit OneNode(const std::string &table = live::makeRoutingTable(3))
+    {
+        REQUIRE(this->fleet.writeRow("op", "config", table));
+        this->fleet.startWorker("orders-1", "orders", "");
+        this->fleet.startNode("node-a");
+        REQUIRE(this->fleet.waitUntilReady());
+    }
+
+    std::string send(const std::string &bytes)
+    {
+        return sendAndRead(this->fleet.addresses.at("node-a/callers"), bytes);
+    }
+
+    void checkIsAlive()
+    {
+        CHECK(this->fleet.call("node-a", "POST", "/lookup/1", "ordinary", "x").status == 200);
+        int status = 0;
+        CHECK_FALSE(this->fleet.process("node-a").hasEnded(status));
+    }
+
+    live::PlatformFleet fleet;
+};
+
+} // namespace
+
+// Guards against a copy of the largest body for each attempt.
+TEST_CASE("on the platform the largest body is served within the smallest machine")
+{
+    constexpr std::size_t maxBodyBytes = 32 * 1024 * 1024;
+    const live::RawWorker silent([](const live::RawWorker::Request &) { return std::string(); });
+    const live::RawWorker sound([](const live::RawWorker::Request &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                           "Content-Length: 2\r\n\r\nhi",
+                           request.header("X-Attempt-Id"));
+    });
+    live::PlatformFleet fleet;
+    fleet.memoryMegabytes = live::smallestMachineMegabytes;
+    std::string table = live::makeRoutingTable(3);
+    table = replaced(table, R"("max_body_bytes":1048576)",
+                     fmt::format(R"("max_body_bytes":{})", maxBodyBytes));
+    table = replaced(table, R"("kind":"safe","timeout_ms":2000)",
+                     R"("kind":"safe","timeout_ms":8000)");
+    REQUIRE(fleet.writeRow("op", "config", table));
+    fleet.addWorker("silent-1", "orders", silent.address());
+    fleet.addWorker("silent-2", "orders", silent.address());
+    fleet.addWorker("silent-3", "orders", silent.address());
+    fleet.startNode("node-a");
+    REQUIRE(fleet.waitUntilReady());
+    const std::string body(maxBodyBytes, 'x');
+    // Each attempt waits, so that the others are made beside it.
+    CHECK(fleet.call("node-a", "POST", "/lookup/1", "unanswered", body).status >= 500);
+    fleet.addWorker("sound-1", "orders", sound.address());
+    CHECK(fleet.waitFor([&] {
+        return fleet.call("node-a", "POST", "/lookup/1", "largest", body).status == 200;
+    }));
+    const std::size_t peak = live::peakMegabytes(fleet.process("node-a").id());
+    MESSAGE("peak of the resident memory: " << peak << " MB");
+    CHECK(peak > 0);
+    CHECK(peak < live::smallestMachineMegabytes);
+}
--- a/tests/soak/load.cpp
+++ b/tests/soak/load.cpp
@@ -131,7 +131,7 @@
                 fmt::format("/{}/{}?n={}", isUnsafe ? "book" : "lookup", request.requestId, i);
         request.body = "body of " + request.requestId;
         const std::string id = request.requestId;
-        const std::string expectedBody = "answer to " + request.target + ": " + request.body;
+        const std::string expectedBody = "answer to " + request.target + ": " + request.body.str();
         const net::HttpResult result = client.sendAndWait(std::move(request), callTimeout);
         const std::uint32_t status = statusOf(result);
         this->history.incrementCounter(fmt::format("{}_{}", isUnsafe ? "book" : "lookup", status));
