Batch items carry no text that cannot be part of a head

Paths, ids and headers of items with line breaks in them were accepted and written into the head of a request, where they begin a request of their own.

Cause: texts from JSON were trusted as if a parser of HTTP had read them. The HTTP client asks once more before it writes, so that an item of a batch in the store fails as not sent instead of ending the node.

Batches in the store are not refused as a whole: a node must not lose one for an item.

--- a/packages/core/include/geraniumpulley/core/http_header.hpp
+++ b/packages/core/include/geraniumpulley/core/http_header.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <string>
+#include <string_view>
 
 namespace geraniumpulley::core {
 
@@ -14,4 +15,11 @@
     auto operator<=>(const HttpHeader &) const = default;
 };
 
+/// \return whether a field can be part of a head (RFC 9110, 5.1 and 5.5) and is short enough for
+/// the HTTP library.
+bool isSendable(const HttpHeader &header);
+
+/// \return whether a text can be the target of a request line (RFC 9112, 3.2).
+bool isSendableTarget(std::string_view target);
+
 } // namespace geraniumpulley::core
--- a/packages/net/include/geraniumpulley/net/http_client.hpp
+++ b/packages/net/include/geraniumpulley/net/http_client.hpp
@@ -18,7 +18,8 @@
 /// Why a request or message has no complete response.
 enum class SendFailure {
     None, ///< There is a complete response.
-    NotSent, ///< No byte of the request was sent, or the peer rejected it unprocessed.
+    NotSent, ///< No byte of the request was sent, or the peer rejected it unprocessed. A request
+             ///< that `core::isSendable` does not allow is never sent.
     AnswerLost, ///< Bytes may have been sent, but no complete response with the right id was
                 ///< received.
 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -51,6 +51,16 @@
            || error == http::error::partial_message;
 }
 
+// Whether the head of a request ends where it should, and the library takes its fields.
+bool isSendable(const HttpRequest &request)
+{
+    return core::isSendableTarget(request.target) && core::isSendable({"Host", request.host})
+           && core::isSendable({request.idHeader, request.requestId})
+           && core::isSendable({"Content-Type", request.contentType})
+           && std::all_of(request.headers.begin(), request.headers.end(),
+                          [](const core::HttpHeader &header) { return core::isSendable(header); });
+}
+
 // Parses the timeout of a Keep-Alive header such as "timeout=5, max=100".
 // \return no value if the timeout is missing or malformed.
 std::optional<core::Duration> parseKeepAliveTimeout(std::string_view header)
@@ -179,7 +189,7 @@
     // The timer of the connection does not prevent a write that can be performed at once.
     void write()
     {
-        if (runtime::now() >= this->request.deadline
+        if (!isSendable(this->request) || runtime::now() >= this->request.deadline
             || (this->request.mayWrite && !this->request.mayWrite()))
             return this->fail(SendFailure::NotSent);
         this->writeStarted = true;
