Readers of results wait 2 s at most, in bounded number, and read a page at a time

Beside it, each reader at a node that is not the owner read the store ten times a second, and each read took all results of a batch from its position on into memory, though an answer holds 700 KB.

A reader waits 2 s at most; beyond 128 that wait the others get what there is at once. 32 reads of the store may be in flight, counted whether their readers stay or not; beyond them 503 with Retry-After. A read takes one page of the store and leaves out a result that the page cuts off, which is read from its own position next.

--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -32,6 +32,14 @@
     Duration maxStoreRetryDelay = std::chrono::milliseconds(500);
     /// Period of the store reads for a reader that waits at a node that is not the owner.
     Duration readPeriod = std::chrono::milliseconds(100);
+    /// Time that a reader may wait for results. Trainers ask for a second at most.
+    Duration maxResultsWait = std::chrono::milliseconds(2000);
+    /// Readers that may wait at a time; the others get what there is at once. Each one that waits
+    /// at a node that is not the owner costs ten reads of the store a second.
+    std::size_t maxWaitingReaders = 128;
+    /// Reads of results in flight; readers beyond them are refused. An answer may take
+    /// `maxAnswerBytes`.
+    std::size_t maxReadsInFlight = 32;
     /// Period of the writes of partial texts, and thus the most progress that a takeover loses.
     Duration partialPeriod = std::chrono::milliseconds(1000);
     /// New events that a partial text must have to be written.
@@ -258,6 +266,7 @@
     std::map<BatchId, PendingBatchSubmission> pendingSubmissions;
     std::map<BatchId, PendingBatchEnd> pendingEnds;
     std::map<ReplyToken, StoreReader> storeReaders;
+    std::size_t readsInFlight = 0; ///< Reads of results, also those whose readers have left.
     std::map<BatchId, std::vector<ItemBodyReader>> itemBodyReaders;
     std::map<BatchId, PendingLoad> pendingLoads;
     std::map<BatchId, PendingTakeover> pendingTakeovers;
--- a/packages/core/src/batch/batch_duty.cpp
+++ b/packages/core/src/batch/batch_duty.cpp
@@ -201,7 +201,7 @@
             earliest.add(end.retryAt);
     }
     for (const auto &[reply, reader] : state.storeReaders) {
-        if (!reader.readInFlight)
+        if (!reader.readInFlight && state.readsInFlight < state.settings.maxReadsInFlight)
             earliest.add(reader.nextReadAt);
     }
     for (const auto &[id, load] : state.pendingLoads) {
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -70,8 +70,21 @@
     return tokens;
 }
 
+// A reader that may not wait is answered with the results that there are.
+Time readDeadline(const BatchContext &context, Duration maxWait)
+{
+    const BatchState &state = context.state;
+    std::size_t waiting = state.storeReaders.size();
+    for (const auto &[id, batch] : state.ownedBatches)
+        waiting += batch.waiters.size();
+    return waiting < state.settings.maxWaitingReaders
+                   ? latestAnswerAt(context, std::min(maxWait, state.settings.maxResultsWait))
+                   : context.now;
+}
+
 void startRead(BatchContext &context, ReplyToken reply, StoreReader &reader)
 {
+    ++context.state.readsInFlight;
     reader.readInFlight = true;
     context.actions.emplace_back(ReadResults{reply, reader.batch, reader.firstPosition});
 }
@@ -211,13 +224,18 @@
     const auto position = context.state.ownedBatches.find(event.batch);
     if (position != context.state.ownedBatches.end() && isOwnershipValid(context)) {
         position->second.waiters.push_back(
-                {event.reply, event.firstPosition, latestAnswerAt(context, event.maxWait)});
+                {event.reply, event.firstPosition, readDeadline(context, event.maxWait)});
         return answerWaiters(context, position->second);
     }
+    if (context.state.readsInFlight >= context.state.settings.maxReadsInFlight) {
+        context.actions.emplace_back(
+                AnswerResults{event.reply, event.batch, ReadVerdict::StoreUnavailable, 0, 0, {}});
+        return;
+    }
     StoreReader reader;
     reader.batch = event.batch;
     reader.firstPosition = event.firstPosition;
-    reader.deadline = latestAnswerAt(context, event.maxWait);
+    reader.deadline = readDeadline(context, event.maxWait);
     startRead(context, event.reply,
               context.state.storeReaders.emplace(event.reply, std::move(reader)).first->second);
 }
@@ -239,6 +257,7 @@
 
 void onResultsRead(BatchContext &context, const ResultsRead &event)
 {
+    --context.state.readsInFlight;
     const auto position = context.state.storeReaders.find(event.reply);
     if (position == context.state.storeReaders.end())
         return;
@@ -268,7 +287,8 @@
 void advanceStoreReaders(BatchContext &context)
 {
     for (auto &[reply, reader] : context.state.storeReaders) {
-        if (!reader.readInFlight && reader.nextReadAt <= context.now)
+        if (!reader.readInFlight && reader.nextReadAt <= context.now
+            && context.state.readsInFlight < context.state.settings.maxReadsInFlight)
             startRead(context, reply, reader);
     }
     for (auto &[id, batch] : context.state.ownedBatches)
--- a/packages/entry/src/batch_store.cpp
+++ b/packages/entry/src/batch_store.cpp
@@ -159,12 +159,24 @@
               });
 }
 
+// Results that a page holds only in part are read from their own position later.
+void dropIncompleteValue(platform::Rows &page)
+{
+    const auto valueOf = [](const platform::Row &row) {
+        return row.name.key.substr(0, row.name.key.rfind('/'));
+    };
+    const bool isCut = page.truncated && !page.rows.empty();
+    const std::string last = isCut ? valueOf(page.rows.back()) : std::string();
+    std::erase_if(page.rows, [&](const platform::Row &row) { return valueOf(row) == last; });
+}
+
 void readResults(Parts &parts, const core::ReadResults &action)
 {
     const auto readEvent = std::make_shared<core::ResultsRead>();
     readEvent->reply = action.reply;
     const auto onResults = [&parts, readEvent](std::optional<platform::Rows> &&rows) {
         if (rows) {
+            dropIncompleteValue(*rows);
             auto results = assembleResults(rows->rows);
             readEvent->succeeded = results.has_value();
             if (results)
@@ -175,7 +187,7 @@
     const platform::RowRange head{contentsTable, action.batch.value, ownerKey, specPrefix};
     const platform::RowRange results{contentsTable, action.batch.value,
                                      resultRow(action.batch, action.firstPosition, 0).key,
-                                     resultsEndKey};
+                                     resultsEndKey, platform::maxPageRows};
     readRange(*parts.storeLink, head,
               [&parts, readEvent, onResults, results,
                id = action.batch](std::optional<platform::Rows> &&rows) {
--- a/packages/entry/src/range_reader.cpp
+++ b/packages/entry/src/range_reader.cpp
@@ -40,6 +40,7 @@
             this->found.storeVersion = page.storeVersion;
             this->found.clock = page.clock;
         }
+        this->found.truncated = page.truncated;
         if (!page.truncated || this->range.limit || this->found.rows.empty())
             return this->done(std::move(this->found));
         // No table has a key that extends another key by a space, so this skips no row.
--- a/tests/live/unit-live_hostile_batches.cpp
+++ b/tests/live/unit-live_hostile_batches.cpp
@@ -120,3 +120,16 @@
     CHECK(node.fleet.executedRequestIds("orders-1").find("smuggled") == std::string::npos);
     node.checkIsAlive();
 }
+
+// Guards against reads that wait for results as long as their clients ask for.
+TEST_CASE("on the platform readers that wait do not hold all connections")
+{
+    BatchNode node;
+    REQUIRE(node.accepts("waiting"));
+    const live::HoldingCrowd crowd(node.fleet.addresses.at("node-a/callers"), allConnections,
+                                   {"GET /-/lots/waiting?after=0 HTTP/1.1\r\nHost: site.example\r\n"
+                                    "X-Wait-Ms: 86400000\r\n\r\n",
+                                    "", false});
+    CHECK(node.fleet.waitFor([&] { return node.servesOrdinary(); }));
+    node.checkIsAlive();
+}
