Batches are accepted while their memory fits

Callers saw: 24 submissions of 640 KB with items of 20 bytes took a node to 293 MB, and it kept them until they ended.

Decoded items take some 20 times the bytes of the smallest ones. BatchMemory counts what a process holds of batches, by references to them, submitted or read from the store. A submission without room is refused with 503 and Retry-After before anything of it is stored, unless the node knows the batch already; a batch alone always fits. The owner shares the batch that was read instead of copying it.

--- a/packages/core/include/geraniumpulley/core/batch/batch.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch.hpp
@@ -4,7 +4,9 @@
 #include <geraniumpulley/core/http_header.hpp>
 #include <geraniumpulley/core/identifier.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +50,9 @@
     std::string encoded; ///< The submitted body, which is stored unchanged.
 };
 
+/// \return the bytes that a batch takes while its owner runs it, without the texts of its items.
+std::size_t memoryOf(const BatchSpec &spec);
+
 enum class ItemOutcome { Completed, Lost };
 
 /// The result of one item, as it is stored and returned to the trainer.
@@ -78,7 +83,7 @@
 struct StoredBatch
 {
     BatchHead head;
-    BatchSpec spec;
+    std::shared_ptr<const BatchSpec> spec;
     std::vector<ItemResult> results; ///< Results in the order of their positions.
     std::vector<PartialText> partials;
 };
--- a/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_duty.hpp
@@ -33,6 +33,7 @@
 {
     ReplyToken reply{};
     std::shared_ptr<const BatchSpec> spec;
+    bool hasRoom = true; ///< The batch fits the memory of this process.
 };
 /// A trainer reads results of a batch.
 struct ResultsRequested
@@ -241,6 +242,7 @@
     NoRoute, ///< No batch route matches the host and path.
     StoreUnavailable, ///< The batch is known not to be stored.
     Uncertain, ///< The batch may be stored.
+    NoRoom, ///< The batch is not stored, since this node holds too many.
 };
 /// Answers a submission.
 struct AnswerBatchSubmission
--- a/packages/core/include/geraniumpulley/core/limits/memory_budget.hpp
+++ b/packages/core/include/geraniumpulley/core/limits/memory_budget.hpp
@@ -13,6 +13,7 @@
     std::size_t targetResponses = 0; ///< Incomplete responses of targets to callers' requests.
     std::size_t engineResponses = 0; ///< Incomplete responses of engines to batch items.
     std::size_t storeResponses = 0; ///< Incomplete responses of the store.
+    std::size_t batches = 0; ///< Batches, without the texts of their items.
 };
 
 /// \param machineBytes memory of the machine.
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -310,7 +310,7 @@
             if (!event.succeeded)
                 answer.verdict = ReadVerdict::StoreUnavailable;
             for (const BatchItem &item :
-                 event.stored ? event.stored->spec.items : std::vector<BatchItem>{}) {
+                 event.stored ? event.stored->spec->items : std::vector<BatchItem>{}) {
                 if (item.id != reader.item)
                     continue;
                 answer.verdict = ReadVerdict::Found;
@@ -329,7 +329,7 @@
         || !isOwnHead(context, event.stored->head) || state.ownedBatches.count(event.batch) != 0)
         return;
     const StoredBatch &stored = *event.stored;
-    openBatch(context, stored.head, std::make_shared<BatchSpec>(stored.spec), &stored);
+    openBatch(context, stored.head, stored.spec, &stored);
 }
 
 void advanceLoads(BatchContext &context)
--- a/packages/core/src/batch/batch_requests.cpp
+++ b/packages/core/src/batch/batch_requests.cpp
@@ -144,6 +144,10 @@
                 AnswerBatchSubmission{event.reply, id, SubmitVerdict::NoRoute});
         return;
     }
+    if (!event.hasRoom) {
+        context.actions.emplace_back(AnswerBatchSubmission{event.reply, id, SubmitVerdict::NoRoom});
+        return;
+    }
     PendingBatchSubmission submission;
     submission.spec = event.spec;
     submission.head.id = id;
--- a/packages/core/src/limits/memory_budget.cpp
+++ b/packages/core/src/limits/memory_budget.cpp
@@ -12,7 +12,8 @@
                                      .unreadResponses = 24 * megabyte,
                                      .targetResponses = 24 * megabyte,
                                      .engineResponses = 24 * megabyte,
-                                     .storeResponses = 24 * megabyte};
+                                     .storeResponses = 24 * megabyte,
+                                     .batches = 64 * megabyte};
 
 } // namespace
 
@@ -24,7 +25,8 @@
             .unreadResponses = std::min(machineBytes / 8, largestBudget.unreadResponses),
             .targetResponses = std::min(machineBytes / 8, largestBudget.targetResponses),
             .engineResponses = std::min(machineBytes / 16, largestBudget.engineResponses),
-            .storeResponses = std::min(machineBytes / 8, largestBudget.storeResponses)};
+            .storeResponses = std::min(machineBytes / 8, largestBudget.storeResponses),
+            .batches = std::min(machineBytes / 10, largestBudget.batches)};
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/tests/batch/batch_simulation.cpp
+++ b/packages/core/tests/batch/batch_simulation.cpp
@@ -359,7 +359,7 @@
         if (const StoredRows *found = this->stored(load->batch)) {
             auto batch = std::make_shared<StoredBatch>();
             batch->head = found->head;
-            batch->spec = *found->spec;
+            batch->spec = found->spec;
             batch->results = found->results;
             for (const auto &[item, partial] : found->partials)
                 batch->partials.push_back(partial);
--- a/packages/core/tests/batch/unit-batch_reader_limits.cpp
+++ b/packages/core/tests/batch/unit-batch_reader_limits.cpp
@@ -1,5 +1,7 @@
 #include "single_batch_fixture.hpp"
 
+#include <geraniumpulley/core/batch/batch.hpp>
+
 using namespace geraniumpulley::core;
 using namespace geraniumpulley::core::test;
 using namespace std::chrono_literals;
@@ -65,3 +67,28 @@
     fixture.send(ResultsRequested{readerToken(limit), {"other"}, 0, 1s});
     CHECK(fixture.count<ReadResults>() == 1);
 }
+
+TEST_CASE("a batch without room is refused, unless it is known already")
+{
+    SingleBatchFixture fixture;
+    const auto spec = BatchSimulation::makeSpec("c", 1, 1);
+    fixture.send(BatchSubmissionReceived{ReplyToken{2}, spec, false});
+    CHECK(fixture.count<AnswerBatchSubmission>() == 1);
+    CHECK(fixture.count<StoreSubmission>() == 0);
+    fixture.send(
+            BatchSubmissionReceived{ReplyToken{3}, BatchSimulation::makeSpec("b", 1, 2), false});
+    CHECK(fixture.count<AnswerBatchSubmission>() == 1);
+    CHECK(std::get<AnswerBatchSubmission>(fixture.actions.front()).verdict
+          == SubmitVerdict::Accepted);
+}
+
+TEST_CASE("the memory of a batch counts its items and not only its bytes")
+{
+    BatchSpec spec;
+    const std::size_t empty = memoryOf(spec);
+    spec.items.resize(1000);
+    CHECK(memoryOf(spec) - empty >= 1000 * sizeof(BatchItem));
+    spec.encoded = std::string(1000, 'x');
+    spec.items.front().headers = {{"X-Model", std::string(500, 'm')}};
+    CHECK(memoryOf(spec) - empty >= 1000 * sizeof(BatchItem) + 1500);
+}
--- a/packages/entry/src/batch_duty.cpp
+++ b/packages/entry/src/batch_duty.cpp
@@ -52,6 +52,8 @@
         return "store_unavailable";
     case core::SubmitVerdict::Uncertain:
         return "uncertain";
+    case core::SubmitVerdict::NoRoom:
+        return "no_room";
     }
     return "unknown";
 }
--- a/packages/entry/src/batch_store.cpp
+++ b/packages/entry/src/batch_store.cpp
@@ -147,12 +147,14 @@
                   core::BatchLoaded loaded{id, rows.has_value(), nullptr};
                   if (rows && !rows->rows.empty()) {
                       auto stored = assembleBatch(id, rows->rows);
-                      if (stored)
-                          loaded.stored =
-                                  std::make_shared<core::StoredBatch>(std::move(stored.value()));
-                      else
+                      if (stored) {
+                          core::StoredBatch &batch = stored.value();
+                          batch.spec = parts.batchMemory.hold(std::move(batch.spec));
+                          loaded.stored = std::make_shared<core::StoredBatch>(std::move(batch));
+                      } else {
                           parts.logger.write("batch_unreadable", field("batch", id.value),
                                              field("error", stored.error().message()));
+                      }
                       loaded.succeeded = stored.has_value();
                   }
                   push(parts, std::move(loaded));
--- a/packages/entry/src/daemon.cpp
+++ b/packages/entry/src/daemon.cpp
@@ -104,6 +104,7 @@
         stopPart(parts.peerLink);
         parts.fleet.stop();
         parts.calls.stop();
+        parts.batches.stop();
         parts.leader.stop();
     }
 
@@ -117,6 +118,7 @@
     core::Result<void> start()
     {
         Parts &parts = this->parts;
+        parts.batchMemory.setLimit(this->budget.batches);
         const std::uint64_t incarnation = makeIncarnation();
         parts.timer = std::make_unique<runtime::TimerService>(incarnation);
         BOOST_OUTCOME_TRY(this->openClients(incarnation));
@@ -261,6 +263,7 @@
     parts.storeLink->drainRelays(schedule.exitsAt);
     parts.calls.inbox().push(core::EntryDraining{schedule.answersDueAt});
     parts.fleet.inbox().push(core::FleetDraining{});
+    parts.batches.inbox().push(core::BatchDraining{schedule.answersDueAt});
     if (parts.hasLeaderDuty)
         parts.leader.inbox().push(core::LeaderDraining{});
     // All parts finish beside each other; the waits below only observe them, up to one deadline.
--- a/packages/entry/src/parts.hpp
+++ b/packages/entry/src/parts.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attempt_relay.hpp"
+#include "batch_memory.hpp"
 #include "shared_tables.hpp"
 #include "store_link.hpp"
 
@@ -81,6 +82,7 @@
     SharedDirectory directory;
     SharedTables tables;
     SharedRateLimiter rateLimiter;
+    BatchMemory batchMemory;
     runtime::Duty<core::FleetEvent> fleet{decisionRingCapacity};
     runtime::Duty<core::EntryEvent> calls{decisionRingCapacity};
     runtime::Duty<core::BatchEvent> batches{decisionRingCapacity};
--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -86,8 +86,10 @@
     auto spec = platform::decodeSubmission(std::move(request), access);
     if (!spec)
         return answerBadRequest(parts, token, spec.error().message());
-    return parts.batches.inbox().tryPush(
-            core::BatchSubmissionReceived{token, std::move(spec.value())});
+    // The duty refuses what has no room, unless it knows the batch already.
+    const bool hasRoom = parts.batchMemory.hasRoomFor(*spec.value());
+    return parts.batches.inbox().tryPush(core::BatchSubmissionReceived{
+            token, parts.batchMemory.hold(std::move(spec.value())), hasRoom});
 }
 
 } // namespace
@@ -189,6 +191,7 @@
     text += fmt::format("connections_displaced {}\n",
                         parts.callerServer->displacedConnectionCount());
     text += fmt::format("connections_refused {}\n", parts.callerServer->refusedConnectionCount());
+    text += fmt::format("batch_bytes_held {}\n", parts.batchMemory.heldBytes());
     text += fmt::format("misplaced_responses {}\n", parts.callerServer->misplacedResponseCount());
     return answerStatus(*parts.metricsServer, request.token, core::status::ok, std::move(text));
 }
--- a/packages/entry/src/stored_batch.cpp
+++ b/packages/entry/src/stored_batch.cpp
@@ -68,7 +68,7 @@
     if (!hasHead)
         return make_error_code(platform::Errc::SchemaMismatch);
     BOOST_OUTCOME_TRY(spec, assembleSpec(id, rows));
-    stored.spec = std::move(spec);
+    stored.spec = std::make_shared<const core::BatchSpec>(std::move(spec));
     BOOST_OUTCOME_TRY(results, assembleResults(rows));
     stored.results = std::move(results);
     for (const auto &[key, value] : joinChunks(rows, partialPrefix)) {
--- a/packages/entry/tests/unit-stored_batch.cpp
+++ b/packages/entry/tests/unit-stored_batch.cpp
@@ -63,7 +63,7 @@
         REQUIRE(stored.has_value());
         CHECK(stored.value().head.owner.value == "node");
         CHECK(stored.value().head.version == core::RowVersion{9});
-        CHECK(stored.value().spec.items.size() == 2);
+        CHECK(stored.value().spec->items.size() == 2);
         REQUIRE(stored.value().results.size() == 1);
         CHECK(stored.value().results[0].text.size() == size);
         REQUIRE(stored.value().partials.size() == 1);
--- a/tests/live/unit-live_hostile_batches.cpp
+++ b/tests/live/unit-live_hostile_batches.cpp
@@ -121,6 +121,18 @@
     node.checkIsAlive();
 }
 
+// Guards against batches that take many times the memory of their bytes, and that are kept until
+// they end.
+TEST_CASE("on the platform batches of many small items do not fill the node's memory")
+{
+    constexpr int batches = 24;
+    BatchNode node;
+    REQUIRE(node.accepts("first"));
+    for (int i = 0; i < batches; ++i)
+        node.submit(fmt::format("crowd-{}", i), makeCrowdedBatch(fmt::format("c{}-", i)));
+    node.checkIsAlive();
+}
+
 // Guards against reads that wait for results as long as their clients ask for.
 TEST_CASE("on the platform readers that wait do not hold all connections")
 {
