Accepting pauses while there are no descriptors

Without descriptors each accept fails at once and was repeated at once, so that the callers' thread did nothing else. It tries again 50 ms later and counts the failures (accept_failures).

--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -143,6 +143,9 @@
     /// in service.
     [[nodiscard]] std::uint64_t refusedConnectionCount() const;
 
+    /// \return the number of connections that could not be accepted, for want of descriptors.
+    [[nodiscard]] std::uint64_t acceptFailureCount() const;
+
     /// \return the number of requests that were refused, and of connections that were closed,
     /// because of the memory that they would have taken.
     [[nodiscard]] std::uint64_t memoryRefusalCount() const;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -14,6 +14,12 @@
 
 namespace geraniumpulley::net {
 
+namespace {
+
+constexpr core::Duration acceptRetryDelay = std::chrono::milliseconds(50);
+
+} // namespace
+
 std::string findHeader(const std::vector<HttpHeader> &headers, const std::string &name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [&](const HttpHeader &header) {
@@ -28,7 +34,21 @@
             return;
         if (!error)
             this->open(std::move(socket));
-        if (!this->draining)
+        if (this->draining)
+            return;
+        if (!error)
+            return this->accept();
+        ++this->acceptFailures;
+        this->acceptLater();
+    });
+}
+
+// Without descriptors each accept fails at once, until a connection is closed.
+void HttpServer::Implementation::acceptLater()
+{
+    this->acceptTimer.expires_after(acceptRetryDelay);
+    this->acceptTimer.async_wait([this](boost::system::error_code error) {
+        if (!error && !this->draining)
             this->accept();
     });
 }
@@ -271,6 +291,11 @@
     return this->implementation->refusedConnections;
 }
 
+std::uint64_t HttpServer::acceptFailureCount() const
+{
+    return this->implementation->acceptFailures;
+}
+
 std::uint64_t HttpServer::memoryRefusalCount() const
 {
     return this->implementation->memoryRefusals;
--- a/packages/net/src/http_server_implementation.hpp
+++ b/packages/net/src/http_server_implementation.hpp
@@ -4,6 +4,7 @@
 #include <geraniumpulley/net/http_server.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <condition_variable>
@@ -33,13 +34,14 @@
                    DisconnectHandler disconnectHandler)
         : settings(settings), handler(std::move(handler)),
           disconnectHandler(std::move(disconnectHandler)), loop(settings.maxConnections),
-          acceptor(loop.context())
+          acceptor(loop.context()), acceptTimer(loop.context())
     {
     }
 
     ~Implementation() { this->loop.stop(); }
 
     void accept();
+    void acceptLater();
     void acceptQueued();
     void open(Tcp::socket socket);
     bool closeMostStalled();
@@ -71,6 +73,7 @@
     std::atomic<bool> keepAliveDisabled = false;
     std::atomic<std::uint64_t> misplacedResponses = 0;
     std::atomic<std::uint64_t> memoryRefusals = 0;
+    std::atomic<std::uint64_t> acceptFailures = 0;
     std::atomic<std::uint64_t> displacedConnections = 0;
     std::atomic<std::uint64_t> refusedConnections = 0;
     std::mutex mutex;
@@ -83,6 +86,7 @@
     std::size_t unreadBytes = 0; // Of responses that are not written yet.
     detail::EventLoop<Command> loop;
     Tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
     core::ReplyToken nextToken{1};
     std::map<core::ReplyToken, std::shared_ptr<Session>> pendingSessions;
 };
--- a/packages/net/tests/unit-connection_limits.cpp
+++ b/packages/net/tests/unit-connection_limits.cpp
@@ -170,3 +170,25 @@
     CHECK(server->memoryRefusalCount() == 1);
     CHECK(disconnects == 1);
 }
+
+// Guards against a thread that does nothing but fail to accept.
+TEST_CASE("without descriptors the server accepts again later")
+{
+    LimitedServer server({});
+    rlimit former{};
+    getrlimit(RLIMIT_NOFILE, &former);
+    std::list<Tcp::socket> crowd;
+    crowd.push_back(server.connect(unfinished));
+    CHECK(server.request().ends_with("ok"));
+    // The descriptor of the next client is the last one.
+    Tcp::socket probe(server.io);
+    probe.open(Tcp::v4());
+    const auto next = static_cast<rlim_t>(probe.native_handle()) + 1;
+    const rlimit lowered{next, former.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+    probe.connect({asio::ip::make_address("127.0.0.1"), server.server->port()});
+    while (server.server->acceptFailureCount() < 3)
+        std::this_thread::yield();
+    setrlimit(RLIMIT_NOFILE, &former);
+    CHECK(server.request().ends_with("ok"));
+}
