Streams with ids that are no keys of the store are not recorded

The origin of a stream is kept and stored under the client's attempt id: 20,000 of up to 16 KB each. And an id over 200 bytes, or with other than printable ASCII characters, is a key that the store refuses together with the origins of all other streams in that write, which is repeated for ever.

Such streams are served and cannot be taken up at another node. unit-stream_origins: the id is not recorded and the write of the others not held up.

--- a/packages/core/include/geraniumpulley/core/entry/stream_origins.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/stream_origins.hpp
@@ -24,6 +24,9 @@
     Duration writePausePerNode = std::chrono::milliseconds(4);
     std::size_t maxWrites = 60; ///< Origins in one write. With removals they fit a transaction.
     std::size_t maxRemovals = 40; ///< Expired origins in one write.
+    /// Streams with longer ids, or with other than printable ASCII characters in them, are not
+    /// recorded and cannot be taken up.
+    std::size_t maxIdBytes = 200;
     /// With more origins than this, the oldest ones are forgotten.
     std::size_t maxOrigins = 20'000;
     /// The time between two looks for expired origins that nodes have left behind.
--- a/packages/core/src/entry/stream_origins.cpp
+++ b/packages/core/src/entry/stream_origins.cpp
@@ -1,5 +1,6 @@
 #include <geraniumpulley/core/entry/stream_origins.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumpulley::core {
@@ -22,6 +23,14 @@
     }
 }
 
+// Whether the store takes an id as a key. It would refuse the other origins of the write, too.
+bool isKey(const std::string &id, std::size_t maxBytes)
+{
+    return id.size() <= maxBytes && std::all_of(id.begin(), id.end(), [](char character) {
+               return character > ' ' && character <= '~';
+           });
+}
+
 // A few expired origins wait for the next write of new ones.
 bool isWriteWorthwhile(const StreamOrigins &streams)
 {
@@ -32,6 +41,8 @@
 
 void recordStreamOrigin(StreamOrigins &streams, const StreamOrigin &origin, Time now)
 {
+    if (!isKey(origin.requestId, streams.settings.maxIdBytes))
+        return;
     const auto [position, isNew] = streams.origins.emplace(
             origin.requestId, KnownOrigin{origin.software, now + streams.settings.retention});
     if (!isNew)
--- a/packages/core/tests/entry/unit-stream_origins.cpp
+++ b/packages/core/tests/entry/unit-stream_origins.cpp
@@ -70,3 +70,16 @@
         CHECK(streams.expired.size() <= 100);
     }
 }
+
+// Guards against ids that clients choose: long ones fill the memory, and one that the store takes
+// for no key keeps the other origins of the write out of it.
+TEST_CASE("an id that is no key of the store is not recorded")
+{
+    StreamOrigins streams;
+    recordStreamOrigin(streams, {std::string(16'000, 'x'), {"v1"}}, start);
+    recordStreamOrigin(streams, {"not ascii \xff", {"v1"}}, start);
+    CHECK(streams.origins.empty());
+    CHECK_FALSE(dueOriginWrite(streams, nodeCount, start).has_value());
+    recordStreamOrigin(streams, {std::string(200, 'x'), {"v1"}}, start);
+    CHECK(streams.origins.size() == 1);
+}
