Requests that the HTTP library throws at end no process

Callers saw: one TRACE with a body ended the node that passed it on; one header field over 65,533 bytes ended it where operators allow heads that large. Nothing caught what the library threw.

The client builds a message before anything is written and fails it as not sent if that throws. Each event loop drops the operation or command that threw, with its connection, and goes on; the callers' server closes the connection of a request whose handler throws (request_exceptions counts them).

--- a/packages/entry/src/routes.cpp
+++ b/packages/entry/src/routes.cpp
@@ -192,6 +192,7 @@
                         parts.callerServer->displacedConnectionCount());
     text += fmt::format("connections_refused {}\n", parts.callerServer->refusedConnectionCount());
     text += fmt::format("accept_failures {}\n", parts.callerServer->acceptFailureCount());
+    text += fmt::format("request_exceptions {}\n", parts.callerServer->failureCount());
     text += fmt::format("batch_bytes_held {}\n", parts.batchMemory.heldBytes());
     text += fmt::format("misplaced_responses {}\n", parts.callerServer->misplacedResponseCount());
     return answerStatus(*parts.metricsServer, request.token, core::status::ok, std::move(text));
--- a/packages/net/include/geraniumpulley/net/detail/event_loop.hpp
+++ b/packages/net/include/geraniumpulley/net/detail/event_loop.hpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <cstdint>
+#include <exception>
 #include <functional>
 #include <string>
 #include <thread>
@@ -48,10 +50,13 @@
         this->ring.setWaker([this] { this->scheduleDrain(); });
         this->thread = std::thread([this, name] {
             runtime::setThreadName(name);
-            this->io.run();
+            this->run();
         });
     }
 
+    /// \return the number of operations and commands that ended with an exception.
+    [[nodiscard]] std::uint64_t failureCount() const { return this->failures; }
+
     /// Stops the loop and joins the thread. Commands still in the ring are discarded.
     void stop()
     {
@@ -63,6 +68,29 @@
     }
 
 private:
+    // An exception drops the operation or command that threw it, and with it the connection that
+    // the operation kept alive; the others go on.
+    void run()
+    {
+        while (true) {
+            try {
+                this->io.run();
+                return;
+            } catch (const std::exception &) {
+                ++this->failures;
+            }
+        }
+    }
+
+    void handle(Command &&command)
+    {
+        try {
+            this->handler(std::move(command));
+        } catch (const std::exception &) {
+            ++this->failures;
+        }
+    }
+
     // Posts at most one drain at a time, so that the queue of the `io_context` stays bounded.
     void scheduleDrain()
     {
@@ -71,7 +99,7 @@
         boost::asio::post(this->io, [this] {
             this->drainScheduled = false;
             while (auto command = this->ring.tryPop())
-                this->handler(std::move(*command));
+                this->handle(std::move(*command));
         });
     }
 
@@ -79,6 +107,7 @@
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard;
     std::atomic<bool> drainScheduled = false;
+    std::atomic<std::uint64_t> failures = 0;
     Handler handler;
     std::thread thread;
 };
--- a/packages/net/include/geraniumpulley/net/http_server.hpp
+++ b/packages/net/include/geraniumpulley/net/http_server.hpp
@@ -143,6 +143,9 @@
     /// in service.
     [[nodiscard]] std::uint64_t refusedConnectionCount() const;
 
+    /// \return the number of requests and connections that ended with an exception.
+    [[nodiscard]] std::uint64_t failureCount() const;
+
     /// \return the number of connections that could not be accepted, for want of descriptors.
     [[nodiscard]] std::uint64_t acceptFailureCount() const;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <atomic>
 #include <charconv>
+#include <exception>
 #include <limits>
 #include <optional>
 #include <set>
@@ -192,7 +193,23 @@
         if (!isSendable(this->request) || runtime::now() >= this->request.deadline
             || (this->request.mayWrite && !this->request.mayWrite()))
             return this->fail(SendFailure::NotSent);
+        // The library refuses some requests, such as one with the method TRACE and a body.
+        try {
+            this->buildMessage();
+        } catch (const std::exception &) {
+            return this->fail(SendFailure::NotSent);
+        }
         this->writeStarted = true;
+        this->restartReadTimeout();
+        this->setResetOnClose(true);
+        http::async_write(this->connection->stream, this->message,
+                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                              self->onWritten(error);
+                          });
+    }
+
+    void buildMessage()
+    {
         this->message.version(11);
         this->message.method_string(this->request.method);
         this->message.target(this->request.target);
@@ -209,12 +226,6 @@
         const std::string &body = this->request.body;
         this->message.body() = {body.data(), body.size()};
         this->message.prepare_payload();
-        this->restartReadTimeout();
-        this->setResetOnClose(true);
-        http::async_write(this->connection->stream, this->message,
-                          [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                              self->onWritten(error);
-                          });
     }
 
     void restartReadTimeout()
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -296,6 +296,11 @@
     return this->implementation->acceptFailures;
 }
 
+std::uint64_t HttpServer::failureCount() const
+{
+    return this->implementation->handlerFailures + this->implementation->loop.failureCount();
+}
+
 std::uint64_t HttpServer::memoryRefusalCount() const
 {
     return this->implementation->memoryRefusals;
--- a/packages/net/src/http_server_implementation.hpp
+++ b/packages/net/src/http_server_implementation.hpp
@@ -74,6 +74,7 @@
     std::atomic<std::uint64_t> misplacedResponses = 0;
     std::atomic<std::uint64_t> memoryRefusals = 0;
     std::atomic<std::uint64_t> acceptFailures = 0;
+    std::atomic<std::uint64_t> handlerFailures = 0;
     std::atomic<std::uint64_t> displacedConnections = 0;
     std::atomic<std::uint64_t> refusedConnections = 0;
     std::mutex mutex;
--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstring>
 #include <deque>
+#include <exception>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -450,15 +451,29 @@
         this->responsePending = true;
         this->partsBegun = false;
         this->server.updatePendingResponses(true);
-        if (this->server.handler(std::move(request))) {
+        if (this->handle(std::move(request))) {
             if (this->server.disconnectHandler)
                 this->watchForDisconnect(token);
             return;
         }
+        if (this->isClosed)
+            return;
         this->server.pendingSessions.erase(token);
         this->write({token, 503, "application/json", {}, queueFullResponseBody, false});
     }
 
+    // Whether a request that causes an exception has run is not known, so it gets no answer.
+    bool handle(ServerRequest &&request)
+    {
+        try {
+            return this->server.handler(std::move(request));
+        } catch (const std::exception &) {
+            ++this->server.handlerFailures;
+            this->giveUpUnread();
+            return false;
+        }
+    }
+
     void reject(std::uint32_t status, const char *reason)
     {
         this->keepAlive = false;
--- a/tests/live/unit-live_hostile_requests.cpp
+++ b/tests/live/unit-live_hostile_requests.cpp
@@ -73,6 +73,24 @@
 
 } // namespace
 
+// Guards against a request that the HTTP library throws at when it is passed on.
+TEST_CASE("on the platform a TRACE with a body ends no node")
+{
+    OneNode node;
+    node.send(lookupHead("TRACE", "Connection: close\r\nContent-Length: 5\r\n") + "hello");
+    node.checkIsAlive();
+}
+
+// Guards against a field that the HTTP library throws at when it is parsed.
+TEST_CASE("on the platform a header field over 64 KB ends no node")
+{
+    OneNode node(replaced(live::makeRoutingTable(3), R"("max_header_bytes":16384)",
+                          R"("max_header_bytes":262144)"));
+    node.send(
+            lookupHead("GET", "Connection: close\r\nX-Long: " + std::string(70'000, 'x') + "\r\n"));
+    node.checkIsAlive();
+}
+
 // Guards against long texts of clients in each line of the log.
 TEST_CASE("on the platform no line of the log is as long as a head")
 {
