HEAD is passed on and answered without a body

Callers saw: HEAD was never served. The client waited for the body that the response's length names, until its deadline. A response with a body would have been read by the caller as its next answer.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -162,6 +162,8 @@
     {
         this->parser.emplace();
         this->parser->header_limit(maxResponseHeaderBytes);
+        // The response to HEAD ends with its head, whatever length it states (RFC 9110, 9.3.2).
+        this->parser->skip(this->request.method == "HEAD");
         // Boost 1.74 rejects each body with a length if the limit is none.
         this->parser->body_limit(this->request.onBodyPart
                                          ? std::numeric_limits<std::uint64_t>::max()
--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -99,7 +99,8 @@
             this->message.insert(header.name, header.value);
         if (!this->requestId.empty())
             this->message.set(requestIdHeader, this->requestId);
-        this->message.body() = std::move(response.body);
+        if (!this->isHeadRequest)
+            this->message.body() = std::move(response.body);
         this->keepAlive = this->keepAlive && !this->server.keepAliveDisabled;
         this->message.keep_alive(this->keepAlive);
         this->message.prepare_payload();
@@ -186,6 +187,8 @@
         if (this->isClosed)
             return;
         this->partsBegun = true;
+        if (this->isHeadRequest)
+            response.body.clear();
         this->holdUnread(sizeof(ServerResponse) + response.body.size());
         this->parts.push_back(std::move(response));
         if (this->parts.size() > maxQueuedParts)
@@ -285,7 +288,7 @@
         if (!part.body.empty())
             append(http::make_chunk(asio::buffer(part.body)));
         part.body = std::string(); // The chunk holds it now.
-        if (part.part == ResponsePart::Last)
+        if (part.part == ResponsePart::Last && !this->isHeadRequest)
             append(http::make_chunk_last());
         this->awaitReader();
         this->stream.expires_after(this->server.settings.writeTimeout);
@@ -433,6 +436,7 @@
         request.token = this->server.nextToken;
         this->server.nextToken = core::next(request.token);
         request.method = std::string(message.method_string());
+        this->isHeadRequest = message.method() == http::verb::head;
         request.target = std::string(message.target());
         request.headers.reserve(
                 static_cast<std::size_t>(std::distance(message.begin(), message.end())));
@@ -536,6 +540,7 @@
     bool responsePending = false;
     bool partsBegun = false; // The first part of the pending response was accepted.
     bool keepAlive = false;
+    bool isHeadRequest = false; // The response has no body.
     core::Time awaitingSince{}; // When the server began to wait for the client.
     std::size_t receivedBytes = 0; // Since then, without those in the buffer.
     bool isAwaitingClient = false; // For a request, or for a response to be read.
--- a/tests/live/unit-live_hostile_requests.cpp
+++ b/tests/live/unit-live_hostile_requests.cpp
@@ -91,6 +91,30 @@
     node.checkIsAlive();
 }
 
+// Guards against the body of an answer to HEAD that the client reads as its next answer.
+TEST_CASE("on the platform an answer to HEAD has no body")
+{
+    OneNode node;
+    const std::string refused =
+            node.send("HEAD /none HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n");
+    CHECK(refused.starts_with("HTTP/1.1 404"));
+    CHECK(refused.ends_with("\r\n\r\n"));
+    const live::RawWorker worker([](const live::RawWorker::Request &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                           "Content-Length: 10\r\n\r\n",
+                           request.header("X-Attempt-Id"));
+    });
+    live::PlatformFleet fleet;
+    REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
+    fleet.addWorker("orders-1", "orders", worker.address());
+    fleet.startNode("node-a");
+    REQUIRE(fleet.waitUntilReady());
+    const std::string served = sendAndRead(fleet.addresses.at("node-a/callers"),
+                                           lookupHead("HEAD", "Connection: close\r\n"));
+    CHECK(served.starts_with("HTTP/1.1 200"));
+    CHECK(served.ends_with("\r\n\r\n"));
+}
+
 // Guards against long texts of clients in each line of the log.
 TEST_CASE("on the platform no line of the log is as long as a head")
 {
