Requests with two hosts or an unclear end are refused

A request with two Host fields was routed by the first one; targets may take the other. A transfer coding other than chunked at the end leaves the length open (RFC 9112, 6.3). Both get 400, and so does TRACE with a body.

What held before: both lengths, several or malformed lengths, spaces before a colon, bare line feeds, NUL, malformed chunks, prefaces of HTTP/2 and TLS. A folded line is passed on as one line.

--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -43,6 +43,16 @@
 inline constexpr const char *queueFullResponseBody =
         R"({"outcome":"not_run","reason":"queue_full"})";
 
+/// \return whether a request is read alike by all that handle it: it has one host at most, and a
+/// body whose end the last transfer coding tells (RFC 9112, 3.2 and 6.3). TRACE has no body.
+inline bool isFramingClear(const http::request<http::string_body> &request)
+{
+    const bool hasCoding = request.count(http::field::transfer_encoding) > 0;
+    const bool hasBody = hasCoding || request.count(http::field::content_length) > 0;
+    return request.count(http::field::host) <= 1 && (!hasCoding || request.chunked())
+           && !(request.method() == http::verb::trace && hasBody);
+}
+
 // One connection. Pending callbacks keep it alive; all of them run on the loop's thread.
 class HttpServer::Implementation::Session : public std::enable_shared_from_this<Session>
 {
@@ -351,6 +361,8 @@
             return this->onRead(error);
         this->requestId = std::string(this->parser->get()[requestIdHeader]);
         this->headBytes = this->costOfHead(headerBytes);
+        if (!isFramingClear(this->parser->get()))
+            return this->reject(400, "malformed_request");
         if (this->parser->content_length().value_or(0) > this->server.settings.maxBodyBytes)
             return this->reject(413, "body_too_large");
         this->readBody();
--- a/tests/live/unit-live_hostile_requests.cpp
+++ b/tests/live/unit-live_hostile_requests.cpp
@@ -115,6 +115,64 @@
     CHECK(served.ends_with("\r\n\r\n"));
 }
 
+// Guards against requests that a target would read in another framing than this node.
+TEST_CASE("on the platform requests with ambiguous framing are refused")
+{
+    OneNode node;
+    const std::string smuggled = "POST /book/1 HTTP/1.1\r\nHost: site.example\r\n"
+                                 "X-Attempt-Id: smuggled\r\nContent-Length: 0\r\n\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<std::string> requests{
+            lookupHead("POST", "Transfer-Encoding: gzip\r\n") + smuggled,
+            lookupHead("POST", "Transfer-Encoding: chunked, gzip\r\n") + smuggled,
+            lookupHead("POST", chunked + "Content-Length: 5\r\n") + "0\r\n\r\n" + smuggled,
+            lookupHead("POST", "Content-Length: 5\r\n" + chunked) + "0\r\n\r\n" + smuggled,
+            lookupHead("POST", "Content-Length: 5\r\nContent-Length: 6\r\n") + "hello" + smuggled,
+            lookupHead("POST", "Content-Length: -1\r\n") + smuggled,
+            lookupHead("POST", "Content-Length: 99999999999999999999999\r\n") + smuggled,
+            lookupHead("POST", "Content-Length : 5\r\n") + "hello" + smuggled,
+            lookupHead("POST", "Host: other.example\r\nContent-Length: 5\r\n") + "hello" + smuggled,
+            lookupHead("POST", "X-A: a\nX-B: b\r\n") + smuggled,
+            lookupHead("POST", std::string("X-A: a\0b\r\n", 10)) + smuggled,
+            lookupHead("POST", chunked) + "zz\r\nhello\r\n0\r\n\r\n" + smuggled,
+            "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + smuggled,
+            std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11) + smuggled,
+    };
+    for (const std::string &request : requests) {
+        CAPTURE(request);
+        const std::string answer = node.send(request);
+        CHECK((answer.empty() || answer.starts_with("HTTP/1.1 4")));
+        CHECK(answer.find("HTTP/1.1 ", 1) == std::string::npos);
+    }
+    CHECK(node.fleet.executedRequestIds("orders-1").find("smuggled") == std::string::npos);
+    CHECK(node.fleet.executedRequestIds("orders-1").find("hostile") == std::string::npos);
+    node.checkIsAlive();
+}
+
+// Guards against a line that a target reads as a field of its own.
+TEST_CASE("on the platform a folded header line is passed on as one line")
+{
+    const live::RawWorker worker([](const live::RawWorker::Request &request) {
+        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                           "Content-Length: 2\r\n\r\nhi",
+                           request.header("X-Attempt-Id"));
+    });
+    live::PlatformFleet fleet;
+    REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
+    fleet.addWorker("orders-1", "orders", worker.address());
+    fleet.startNode("node-a");
+    REQUIRE(fleet.waitUntilReady());
+    const std::string answer = sendAndRead(
+            fleet.addresses.at("node-a/callers"),
+            lookupHead("GET", "Connection: close\r\nX-A: b\r\n\tContent-Length: 5\r\n"));
+    CHECK((answer.starts_with("HTTP/1.1 200") || answer.starts_with("HTTP/1.1 400")));
+    for (const std::string &head : worker.heads()) {
+        CHECK(head.find("\r\n\t") == std::string::npos);
+        CHECK(head.find("\r\n ") == std::string::npos);
+        CHECK(head.find("\r\nContent-Length: 5") == std::string::npos);
+    }
+}
+
 // Guards against long texts of clients in each line of the log.
 TEST_CASE("on the platform no line of the log is as long as a head")
 {
