A status that is none is no answer

Interim are 100 to 199 without 101, final 200 to 599. Whatever else stands there is an answer that is lost: safe requests go to another target, others get 502, and it counts against the target. More than 16 interim responses are no answer. One place serves all: requests, streams, items, reward calls, orders, the store and the provider go through HttpClient. What peers of earlier builds pass on is checked where it is decoded (relayed attempts, forwarded calls, kept answers of claims).

--- a/packages/codec/src/claim_messages.cpp
+++ b/packages/codec/src/claim_messages.cpp
@@ -1,5 +1,7 @@
 #include <geraniumpulley/codec/claim_messages.hpp>
 
+#include "answer_status.hpp"
+
 #include <geraniumpulley/codec/detail/json_reader.hpp>
 #include <geraniumpulley/codec/error.hpp>
 
@@ -73,6 +75,7 @@
     record.answer.status = static_cast<std::uint32_t>(reader.readNumber("status", {0, maxStatus}));
     record.answer.contentType = reader.readString("content_type");
     record.answer.body = reader.readString("body");
+    record.answer = checkStatus(std::move(record.answer));
     return record;
 }
 
--- a/packages/codec/src/peer_messages.cpp
+++ b/packages/codec/src/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include <geraniumpulley/codec/peer_messages.hpp>
 
+#include "answer_status.hpp"
 #include "message_pack.hpp"
 
 #include <geraniumpulley/codec/error.hpp>
@@ -118,8 +119,8 @@
                          && reason >= 0 && reason <= static_cast<int>(core::Reason::Quarantined);
     if (!isValid)
         return make_error_code(Errc::SchemaMismatch);
-    return core::CallAnswer{static_cast<core::Outcome>(outcome), static_cast<core::Reason>(reason),
-                            status, contentType, body};
+    return checkStatus({static_cast<core::Outcome>(outcome), static_cast<core::Reason>(reason),
+                        status, contentType, body});
 }
 
 core::Result<core::StepRequest> decodeStepRequest(const std::string &bytes)
--- a/packages/codec/src/relay_messages.cpp
+++ b/packages/codec/src/relay_messages.cpp
@@ -3,6 +3,7 @@
 #include "message_pack.hpp"
 
 #include <geraniumpulley/codec/error.hpp>
+#include <geraniumpulley/core/http_status.hpp>
 
 #include <tuple>
 #include <utility>
@@ -75,7 +76,9 @@
     if (!wire)
         return wire.error();
     auto &[delivery, closedByTarget, isSelfDelimited, status, headers, body] = wire.value();
-    if (delivery < 0 || delivery > static_cast<int>(RelayedAnswer::Delivery::AnswerLost))
+    const bool isAnswered = delivery == static_cast<int>(RelayedAnswer::Delivery::Answered);
+    if (delivery < 0 || delivery > static_cast<int>(RelayedAnswer::Delivery::AnswerLost)
+        || (isAnswered && !core::status::isFinal(status)))
         return make_error_code(Errc::SchemaMismatch);
     return RelayedAnswer{static_cast<RelayedAnswer::Delivery>(delivery),
                          closedByTarget,
--- a/packages/codec/tests/unit-peer_messages.cpp
+++ b/packages/codec/tests/unit-peer_messages.cpp
@@ -30,3 +30,17 @@
         CHECK_FALSE(codec::decodeAnnouncement(bytes).has_value());
     }
 }
+
+// Guards against an answer that a node of an earlier build passes on.
+TEST_CASE("a forwarded call whose status is none may have run")
+{
+    for (const std::uint32_t status : {0U, 99U, 101U, 600U, 999U}) {
+        CAPTURE(status);
+        const core::CallAnswer answer{core::Outcome::Ran, core::Reason::Served, status, "t", "b"};
+        const auto decoded = codec::decodeCallAnswer(codec::encodePeer(answer));
+        REQUIRE(decoded.has_value());
+        CHECK(decoded.value().outcome == core::Outcome::Unknown);
+        CHECK(decoded.value().status == 502);
+        CHECK(decoded.value().body.empty());
+    }
+}
--- a/packages/codec/tests/unit-relay_messages.cpp
+++ b/packages/codec/tests/unit-relay_messages.cpp
@@ -35,3 +35,19 @@
     CHECK_FALSE(codec::decodeRelayedAttempt("x").has_value());
     CHECK_FALSE(codec::decodeRelayedAnswer("").has_value());
 }
+
+// Guards against an answer that a node of an earlier build passes on.
+TEST_CASE("a relayed answer whose status is none is no answer")
+{
+    using Delivery = codec::RelayedAnswer::Delivery;
+    for (const std::uint32_t status : {0U, 99U, 101U, 600U, 999U, 4'000'000'000U}) {
+        CAPTURE(status);
+        CHECK_FALSE(codec::decodeRelayedAnswer(
+                            codec::encodeRelayedAnswer(
+                                    {Delivery::Answered, false, true, status, {}, {}}))
+                            .has_value());
+        CHECK(codec::decodeRelayedAnswer(
+                      codec::encodeRelayedAnswer({Delivery::NotSent, false, true, status, {}, {}}))
+                      .has_value());
+    }
+}
--- a/packages/core/include/geraniumpulley/core/http_status.hpp
+++ b/packages/core/include/geraniumpulley/core/http_status.hpp
@@ -5,6 +5,24 @@
 /// HTTP status codes that decisions of the core depend on.
 namespace geraniumpulley::core::status {
 
+/// \return whether a status belongs to an interim response, behind which the response itself comes
+/// (RFC 9110, 15.2). A change of the protocol, which nobody asks for here, ends with its head.
+constexpr bool isInterim(std::uint32_t status)
+{
+    constexpr std::uint32_t first = 100;
+    constexpr std::uint32_t switchingProtocols = 101;
+    constexpr std::uint32_t firstFinal = 200;
+    return status >= first && status < firstFinal && status != switchingProtocols;
+}
+
+/// \return whether a status is one of a response (RFC 9110, 15).
+constexpr bool isFinal(std::uint32_t status)
+{
+    constexpr std::uint32_t first = 200;
+    constexpr std::uint32_t end = 600;
+    return status >= first && status < end;
+}
+
 inline constexpr std::uint32_t ok = 200;
 inline constexpr std::uint32_t accepted = 202;
 inline constexpr std::uint32_t firstRedirection = 300;
--- a/packages/core/tests/unit-http_header.cpp
+++ b/packages/core/tests/unit-http_header.cpp
@@ -1,4 +1,5 @@
 #include <geraniumpulley/core/http_header.hpp>
+#include <geraniumpulley/core/http_status.hpp>
 
 #include <doctest/doctest.h>
 
@@ -27,3 +28,13 @@
     CHECK_FALSE(isSendableTarget("/a\tb"));
     CHECK_FALSE(isSendableTarget("/a\r\nHost: b"));
 }
+
+TEST_CASE("interim and final statuses are those of the protocol")
+{
+    for (const std::uint32_t code : {100U, 102U, 103U, 199U})
+        CHECK((status::isInterim(code) && !status::isFinal(code)));
+    for (const std::uint32_t code : {200U, 204U, 304U, 421U, 599U})
+        CHECK((!status::isInterim(code) && status::isFinal(code)));
+    for (const std::uint32_t code : {0U, 99U, 101U, 600U, 999U, 1000U})
+        CHECK((!status::isInterim(code) && !status::isFinal(code)));
+}
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -3,6 +3,7 @@
 #include "connection_pool.hpp"
 #include "connection_probe.hpp"
 
+#include <geraniumpulley/core/http_status.hpp>
 #include <geraniumpulley/net/detail/event_loop.hpp>
 #include <geraniumpulley/runtime/clock.hpp>
 
@@ -37,6 +38,9 @@
 // is sent while the server is closing it.
 constexpr core::Duration keepAliveMargin = std::chrono::milliseconds(500);
 
+// A server that sends more interim responses than this sends no response.
+constexpr std::size_t maxInterimResponses = 16;
+
 struct CancelCommand
 {
     CancelKey key{};
@@ -265,6 +269,8 @@
             return;
         if (error == http::error::body_limit || error == http::error::header_limit)
             return this->giveUpOversized();
+        if (!this->hasResponseStatus())
+            return this->fail(SendFailure::AnswerLost);
         const bool deliversBody = this->isDeliveredInParts();
         const bool isMatching = this->isMatchingResponse();
         std::string &body = this->parser->get().body();
@@ -318,13 +324,15 @@
             this->restartReadTimeout();
     }
 
-    // The response itself is still to come, except behind a change of the protocol.
-    bool isInterimResponse()
+    bool isInterimResponse() { return core::status::isInterim(this->parser->get().result_int()); }
+
+    // Whatever else a server sends in the place of a status, it is no response, and may belong to a
+    // request that has run.
+    bool hasResponseStatus()
     {
-        constexpr unsigned firstFinalStatus = 200;
         const unsigned status = this->parser->get().result_int();
-        return status < firstFinalStatus
-               && this->parser->get().result() != http::status::switching_protocols;
+        return !this->parser->is_header_done() || core::status::isInterim(status)
+               || core::status::isFinal(status);
     }
 
     // A connection is pooled only if its server echoed a request id, so that on a reused one a
@@ -369,6 +377,8 @@
         if (error || !this->isMatchingResponse())
             return this->fail(SendFailure::AnswerLost, isClosedByPeer(error));
         if (this->isInterimResponse()) {
+            if (++this->interimResponses > maxInterimResponses)
+                return this->fail(SendFailure::AnswerLost);
             this->resetParser();
             return this->readResponse();
         }
@@ -450,6 +460,7 @@
     bool writeStarted = false;
     std::size_t bufferedBytes = 0; // Of the response so far, not counting delivered parts.
     bool headDelivered = false;
+    std::size_t interimResponses = 0;
     bool exceedsMemory = false;
     bool completed = false;
 };
