Ended batches and their models are forgotten

The batch duty kept the last version of each batch that it had closed, and an engine list for each model that a batch had named, for as long as the process lived: names that clients choose.

A closed batch is remembered until the directory has not listed it for 60 s; a batch that is listed after that is read from the store again, whose head says that it has ended. Engine lists go with the last batch of their model.

--- a/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
+++ b/packages/core/include/geraniumpulley/core/batch/batch_state.hpp
@@ -71,6 +71,9 @@
     Duration usualEventTime = std::chrono::milliseconds(30);
     /// Usable share of the slots of an engine that is assigned to another model.
     std::uint32_t spilloverPercent = 50;
+    /// How long a closed batch is remembered that the directory does not list. Longer than a
+    /// directory usually lags behind the store; a batch that is listed after that is read again.
+    Duration closedRetention = std::chrono::seconds(60);
     /// Age at which a batch is removed from the store; longer than trainers may read its results.
     Duration resultRetention = std::chrono::seconds(150);
     Duration demandPeriod = std::chrono::milliseconds(500); ///< Between reports of demand.
@@ -255,6 +258,13 @@
     bool writeInFlight = false; ///< A claim or release has been sent and is not answered yet.
 };
 
+/// A batch that this node has closed. Directory entries up to its version are outdated and ignored.
+struct ClosedBatch
+{
+    RowVersion version{}; ///< Last known version of the head.
+    Time closedAt{};
+};
+
 /// State of the batch duty of one node.
 struct BatchState
 {
@@ -270,9 +280,8 @@
     std::map<BatchId, std::vector<ItemBodyReader>> itemBodyReaders;
     std::map<BatchId, PendingLoad> pendingLoads;
     std::map<BatchId, PendingTakeover> pendingTakeovers;
-    /// Last known head version of each batch that this node has closed. Directory entries up to
-    /// that version are outdated and ignored.
-    std::map<BatchId, RowVersion> closedVersions;
+    /// Batches that this node has closed, until the directory has dropped them.
+    std::map<BatchId, ClosedBatch> closedBatches;
     std::map<OperationId, RunRecord> runs;
     std::map<TargetId, EngineStatus> engines; ///< Never shrinks, so that lists can refer to it.
     std::map<std::pair<ServiceName, std::string>, EngineList>
--- a/packages/core/src/batch/batch_context.hpp
+++ b/packages/core/src/batch/batch_context.hpp
@@ -81,6 +81,8 @@
 
 // batch_ownership.cpp
 
+/// Remembers that this node has closed a batch, whose head has the version.
+void noteClosed(BatchContext &context, const BatchId &id, RowVersion version);
 /// Starts work on a batch whose head names this node as the owner.
 /// \param stored the results and partial texts of the previous owner; null for a new batch.
 void openBatch(BatchContext &context, const BatchHead &head, std::shared_ptr<const BatchSpec> spec,
--- a/packages/core/src/batch/batch_ends.cpp
+++ b/packages/core/src/batch/batch_ends.cpp
@@ -68,7 +68,7 @@
         const RowVersion version =
                 event.outcome == StoreOutcome::Committed ? event.version : event.found->version;
         answer(context, id, ReadVerdict::Found);
-        context.state.closedVersions[id] = version;
+        noteClosed(context, id, version);
         return closeBatch(context, id, OwnershipChange::Ended);
     }
     if (position == context.state.pendingEnds.end())
--- a/packages/core/src/batch/batch_ownership.cpp
+++ b/packages/core/src/batch/batch_ownership.cpp
@@ -1,6 +1,8 @@
 #include "batch_context.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace geraniumpulley::core {
@@ -14,8 +16,9 @@
 
 bool isOutdated(const BatchContext &context, const BatchHead &head)
 {
-    const auto position = context.state.closedVersions.find(head.id);
-    return position != context.state.closedVersions.end() && head.version <= position->second;
+    const auto position = context.state.closedBatches.find(head.id);
+    return position != context.state.closedBatches.end()
+           && head.version <= position->second.version;
 }
 
 std::map<ItemId, std::uint32_t> indexItems(const BatchSpec &spec)
@@ -118,7 +121,7 @@
     OwnedBatch &batch = context.state.ownedBatches.at(head.id);
     if (head.version <= batch.head.version)
         return;
-    context.state.closedVersions[head.id] = head.ended ? head.version : RowVersion{};
+    noteClosed(context, head.id, head.ended ? head.version : RowVersion{});
     closeBatch(context, head.id, head.ended ? OwnershipChange::Ended : OwnershipChange::Superseded);
 }
 
@@ -145,7 +148,7 @@
         return;
     if (isExpired(context, head)
         && takeoverRank(state.directory->presence, head.model, context.now) == 0) {
-        state.closedVersions[head.id] = head.version;
+        noteClosed(context, head.id, head.version);
         context.actions.emplace_back(RemoveBatch{head});
         return;
     }
@@ -161,6 +164,16 @@
     }
 }
 
+// Trainers name the models, so that there may be any number of them.
+void removeUnusedEngineLists(BatchContext &context)
+{
+    std::set<std::string> models;
+    for (const auto &[id, batch] : context.state.ownedBatches)
+        models.insert(batch.head.model);
+    std::erase_if(context.state.engineLists,
+                  [&](const auto &entry) { return models.count(entry.first.second) == 0; });
+}
+
 void onReleaseStored(BatchContext &context, const HeadStored &event)
 {
     const auto position = context.state.ownedBatches.find(event.head.id);
@@ -170,7 +183,7 @@
     }
     OwnedBatch &batch = position->second;
     if (event.outcome == StoreOutcome::Committed || event.outcome == StoreOutcome::Conflict) {
-        context.state.closedVersions[event.head.id] = std::max(event.version, batch.head.version);
+        noteClosed(context, event.head.id, std::max(event.version, batch.head.version));
         return closeBatch(context, event.head.id, OwnershipChange::HandedOver);
     }
     batch.releaseInFlight = false;
@@ -263,6 +276,11 @@
     }
 }
 
+void noteClosed(BatchContext &context, const BatchId &id, RowVersion version)
+{
+    context.state.closedBatches[id] = {version, context.now};
+}
+
 void reconcileOwnership(BatchContext &context)
 {
     const DirectoryPointer &directory = context.state.directory;
@@ -274,6 +292,11 @@
         return directory->batches->count(entry.first) == 0;
     };
     std::erase_if(context.state.pendingTakeovers, isRemoved);
+    std::erase_if(context.state.closedBatches, [&](const auto &entry) {
+        return isRemoved(entry)
+               && entry.second.closedAt + context.state.settings.closedRetention <= context.now;
+    });
+    removeUnusedEngineLists(context);
 }
 
 void onHeadStored(BatchContext &context, const HeadStored &event)
