The shares of memory fit the smallest machine together, with the allocator's loss

Crowds of all kinds together (heads, bodies, trailers, unread answers, waiting readers, batches), 150 clients of each, took the node over the memory of the smallest machine though each share held.

On: live-platform_all_crowds CHECK( 212 < 120 ) MB; live-platform_unread_large_answers, 1,100 clients that read no answers of 200 KB, CHECK( 175 < 120 ) MB.

Bodies are allocated by one thread and freed by another, so each arena keeps what it had at its peak. The daemon limits arenas, returns large blocks, and the shares leave a fifth of the machine to the rest.

--- a/packages/core/src/limits/memory_budget.cpp
+++ b/packages/core/src/limits/memory_budget.cpp
@@ -18,15 +18,16 @@
 } // namespace
 
 // A third of the smallest machine (120 MB) holds one body of the largest size that operators allow
-// (32 MiB). The shares together leave an eighth of the machine to the rest of the process.
+// (32 MiB). The shares together leave a fifth of the machine to the rest of the process
+// and to the loss of the allocator.
 MemoryBudget makeMemoryBudget(std::size_t machineBytes)
 {
     return {.requests = std::min(machineBytes / 3, largestBudget.requests),
-            .unreadResponses = std::min(machineBytes / 8, largestBudget.unreadResponses),
-            .targetResponses = std::min(machineBytes / 8, largestBudget.targetResponses),
-            .engineResponses = std::min(machineBytes / 16, largestBudget.engineResponses),
-            .storeResponses = std::min(machineBytes / 8, largestBudget.storeResponses),
-            .batches = std::min(machineBytes / 10, largestBudget.batches)};
+            .unreadResponses = std::min(machineBytes / 10, largestBudget.unreadResponses),
+            .targetResponses = std::min(machineBytes / 10, largestBudget.targetResponses),
+            .engineResponses = std::min(machineBytes / 20, largestBudget.engineResponses),
+            .storeResponses = std::min(machineBytes / 10, largestBudget.storeResponses),
+            .batches = std::min(machineBytes / 12, largestBudget.batches)};
 }
 
 } // namespace geraniumpulley::core
--- a/packages/core/tests/limits/unit-memory_budget.cpp
+++ b/packages/core/tests/limits/unit-memory_budget.cpp
@@ -19,7 +19,7 @@
         const MemoryBudget budget = makeMemoryBudget(megabytes * megabyte);
         const std::size_t sum = budget.requests + budget.unreadResponses + budget.targetResponses
                                 + budget.engineResponses + budget.storeResponses + budget.batches;
-        CHECK(sum <= megabytes * megabyte * 7 / 8);
+        CHECK(sum <= megabytes * megabyte * 4 / 5);
         CHECK(budget.requests > 33 * megabyte);
     }
 }
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -2,6 +2,7 @@
 #include <geraniumpulley/entry/settings.hpp>
 #include <geraniumpulley/node/daemon.hpp>
 #include <geraniumpulley/node/settings.hpp>
+#include <geraniumpulley/runtime/machine.hpp>
 #include <geraniumpulley/runtime/signals.hpp>
 
 #include <cxxopts.hpp>
@@ -108,6 +109,7 @@
 
 int main(int argc, char **argv)
 {
+    runtime::limitAllocatorLoss();
     runtime::blockStopSignals();
     runtime::blockReloadSignal();
     cxxopts::Options options("geraniumpulleyd", "Entry process of the rollout service.");
--- a/tests/live/crowd.hpp
+++ b/tests/live/crowd.hpp
@@ -16,9 +16,10 @@
 /// Clients outside the limits, and what they cost a process.
 namespace live {
 
-/// The smallest machine of the users' deployments: its memory and its descriptors.
+/// The smallest machine of the users' deployments: its memory, and its 3,075 descriptors without the
+/// 200 that are reserved for files.
 constexpr std::size_t smallestMachineMegabytes = 120;
-constexpr std::size_t smallestMachineDescriptors = 3075;
+constexpr std::size_t smallestMachineDescriptors = 2875;
 
 /// \return the largest resident size that a process has had, in megabytes; 0 if it has ended.
 std::size_t peakMegabytes(pid_t process);
