Hedged attempts of all requests together are bounded

1,100 clients with safe requests at three silent targets: 2,998 descriptors on, of which sockets may take 2,875 on the smallest machine (live-platform_hedged_descriptors). Beyond them no connection can be accepted or opened, so the first attempts of ordinary requests fail as well.

256 attempts beyond one for each request may be in flight; a request that would be hedged beyond them waits for its first attempt and asks again 300 ms later.

--- a/packages/core/include/geraniumpulley/core/entry/entry.hpp
+++ b/packages/core/include/geraniumpulley/core/entry/entry.hpp
@@ -17,6 +17,7 @@
 #include <geraniumpulley/core/shared_bytes.hpp>
 #include <geraniumpulley/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -310,6 +311,7 @@
     /// Time without an answer after which a repeatable request is hedged, that is, also sent to
     /// another target. Above the usual latency of plain services, so that few requests run twice.
     Duration hedgeDelay = std::chrono::milliseconds(300);
+    std::size_t maxHedges = 256; ///< Attempts beyond one for each request, of all requests.
     /// Delay before a retry after all targets refused, multiplied by the refusals so far.
     Duration refusalBackoff = std::chrono::milliseconds(20);
     Duration retryAfter = std::chrono::milliseconds(100); ///< Sent to clients with a refusal.
--- a/packages/core/src/entry/entry.cpp
+++ b/packages/core/src/entry/entry.cpp
@@ -538,6 +538,14 @@
         request.awaitsPermit = false;
         if (!this->mayAttempt(request) || (!request.repeatable && !request.openAttempts.empty()))
             return;
+        // Every request may have one attempt, so that those of many callers cannot take the
+        // connections that the first attempts of others need.
+        if (!request.openAttempts.empty()
+            && this->state.attempts.size()
+                       >= this->state.requests.size() + this->state.settings.maxHedges) {
+            request.nextAttemptAt = this->now + this->state.settings.hedgeDelay;
+            return;
+        }
         const CrashJudgement judgement = this->judgeRequest(request);
         if (judgement.verdict != CrashVerdict::Clear) {
             if (!request.openAttempts.empty())
--- a/tests/live/unit-live_crowds.cpp
+++ b/tests/live/unit-live_crowds.cpp
@@ -141,3 +141,52 @@
     const live::HoldingCrowd crowd(node.address(), allConnections, {request, request, true});
     node.checkIsSound();
 }
+
+// Guards against attempts beside each other that take several connections for each one of a client.
+TEST_CASE("on the platform hedged requests of all connections stay within the descriptors")
+{
+    constexpr std::size_t allConnections = 1100;
+    constexpr auto observed = std::chrono::seconds(4);
+    CrowdedNode node;
+    for (const char *name : {"orders-2", "orders-3"})
+        node.fleet.addWorker(name, "orders", node.worker.address());
+    const std::string request = head("POST /lookup/1", "Content-Length: 6\r\n") + "silent";
+    const live::HoldingCrowd crowd(node.address(), allConnections, {request, "", true});
+    const pid_t process = node.fleet.process("node-a").id();
+    std::size_t most = 0;
+    const auto end = std::chrono::steady_clock::now() + observed;
+    CHECK(node.fleet.waitFor([&] {
+        most = std::max(most, live::openDescriptors(process));
+        return std::chrono::steady_clock::now() > end;
+    }));
+    MESSAGE("most descriptors: " << most);
+    CHECK(most < live::smallestMachineDescriptors);
+    node.checkIsSound();
+}
+
+// Guards against what is left of clients that send a request and reset the connection.
+TEST_CASE("on the platform clients that reset their connections leave nothing behind")
+{
+    constexpr int cycles = 3000;
+    CrowdedNode node;
+    asio::io_context io;
+    const std::string request = head("POST /lookup/1", "Content-Length: 6\r\n") + "silent";
+    const std::size_t colon = node.address().rfind(':');
+    const Tcp::endpoint endpoint(
+            asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoul(node.address().substr(colon + 1))));
+    for (int i = 0; i < cycles; ++i) {
+        Tcp::socket socket(io);
+        boost::system::error_code ignored;
+        socket.connect(endpoint, ignored);
+        asio::write(socket, asio::buffer(request.data(), i % 3 == 0 ? 40 : request.size()),
+                    ignored);
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+    const pid_t process = node.fleet.process("node-a").id();
+    constexpr std::size_t restingDescriptors = 200;
+    CHECK(node.fleet.waitFor(
+            [process] { return live::openDescriptors(process) < restingDescriptors; }));
+    node.checkIsSound();
+}
