A refusal before a request is read knows whether it answers HEAD

The flag was set only when a request was passed on, so a refused HEAD got a body, and a refusal behind a HEAD on the same connection got none. unit-connection_limits failed before: CHECK( answerTo("HEAD" + tooLarge).ends_with("\r\n\r\n") ) false.

--- a/packages/net/src/http_session.hpp
+++ b/packages/net/src/http_session.hpp
@@ -228,7 +228,7 @@
         this->isReading = true;
     }
 
-    // An idle connection holds no memory.
+    // An idle connection keeps no more than its first read takes.
     void releaseBuffers()
     {
         this->buffer.clear();
@@ -357,6 +357,7 @@
     void onHeader(beast::error_code error, std::size_t headerBytes)
     {
         this->requestId.clear();
+        this->isHeadRequest = this->parser->get().method() == http::verb::head;
         if (error)
             return this->onRead(error);
         this->requestId = std::string(this->parser->get()[requestIdHeader]);
@@ -448,7 +449,6 @@
         request.token = this->server.nextToken;
         this->server.nextToken = core::next(request.token);
         request.method = std::string(message.method_string());
-        this->isHeadRequest = message.method() == http::verb::head;
         request.target = std::string(message.target());
         request.headers.reserve(
                 static_cast<std::size_t>(std::distance(message.begin(), message.end())));
--- a/packages/net/tests/unit-connection_limits.cpp
+++ b/packages/net/tests/unit-connection_limits.cpp
@@ -105,6 +105,19 @@
     CHECK(answer.find("Retry-After: ") != std::string::npos);
 }
 
+TEST_CASE("a refusal has a body, unless it answers HEAD")
+{
+    const std::string tooLarge = " / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n";
+    const std::string answered = " / HTTP/1.1\r\n\r\n";
+    LimitedServer server({});
+    const auto answerTo = [&server](const std::string &bytes) {
+        Tcp::socket socket = server.connect(bytes);
+        return LimitedServer::readAll(socket);
+    };
+    CHECK(answerTo("HEAD" + tooLarge).ends_with("\r\n\r\n"));
+    CHECK(answerTo("HEAD" + answered + "POST" + tooLarge).ends_with("}"));
+}
+
 TEST_CASE("a request in service keeps its connection")
 {
     net::HttpServerSettings settings;
