--- a/tests/live/crowd.cpp
+++ b/tests/live/crowd.cpp
@@ -34,6 +34,14 @@
     return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
+std::string smallFields(std::size_t bytes)
+{
+    std::string fields;
+    while (fields.size() < bytes)
+        fields += "a:\r\n";
+    return fields;
+}
+
 HoldingCrowd::HoldingCrowd(const std::string &address, std::size_t size, HoldingPattern pattern)
     : pattern(std::move(pattern))
 {
--- a/tests/live/crowd.hpp
+++ b/tests/live/crowd.hpp
@@ -16,8 +16,8 @@
 /// Clients outside the limits, and what they cost a process.
 namespace live {
 
-/// The smallest machine of the users' deployments: its memory, and its 3,075 descriptors without the
-/// 200 that are reserved for files.
+/// The smallest machine of the users' deployments: its memory, and its 3,075 descriptors without
+/// the 200 that are reserved for files.
 constexpr std::size_t smallestMachineMegabytes = 120;
 constexpr std::size_t smallestMachineDescriptors = 2875;
 
@@ -27,6 +27,9 @@
 /// \return the number of descriptors that a process has open.
 std::size_t openDescriptors(pid_t process);
 
+/// \return fields of at least so many bytes, as small as the format allows.
+std::string smallFields(std::size_t bytes);
+
 /// What each client of a `HoldingCrowd` sends.
 struct HoldingPattern
 {
--- a/tests/live/raw_worker.cpp
+++ b/tests/live/raw_worker.cpp
@@ -1,5 +1,7 @@
 #include "raw_worker.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 
@@ -91,4 +93,11 @@
     }
 }
 
+std::string makeAnswer(const RawWorker::Request &request, const std::string &body)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
+                       "Content-Length: {}\r\n\r\n{}",
+                       request.header("X-Attempt-Id"), body.size(), body);
+}
+
 } // namespace live
--- a/tests/live/raw_worker.hpp
+++ b/tests/live/raw_worker.hpp
@@ -61,4 +61,7 @@
     std::thread thread;
 };
 
+/// \return a whole answer of a worker to a request.
+std::string makeAnswer(const RawWorker::Request &request, const std::string &body = "hi");
+
 } // namespace live
--- a/tests/live/unit-live_crowds.cpp
+++ b/tests/live/unit-live_crowds.cpp
@@ -23,22 +23,12 @@
            + "\r\n";
 }
 
-std::string smallFields(std::size_t bytes)
-{
-    std::string fields;
-    while (fields.size() < bytes)
-        fields += "a:\r\n";
-    return fields;
-}
-
 std::string answer(const live::RawWorker::Request &request)
 {
     if (request.body == "silent")
         return {};
-    const std::string body(request.body == "large" ? largeAnswerBytes : 2, 'x');
-    return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
-                       "Content-Length: {}\r\n\r\n{}",
-                       request.header("X-Attempt-Id"), body.size(), body);
+    return live::makeAnswer(request,
+                            std::string(request.body == "large" ? largeAnswerBytes : 2, 'x'));
 }
 
 // A node on the smallest machine with a worker that answers as the body of the request asks.
@@ -110,7 +100,8 @@
     }));
     const live::HoldingCrowd heads(
             node.address(), clients,
-            {head("POST /lookup/1", "Content-Length: 1000\r\n" + smallFields(16'000)), "", true});
+            {head("POST /lookup/1", "Content-Length: 1000\r\n" + live::smallFields(16'000)), "",
+             true});
     const live::HoldingCrowd bodies(
             node.address(), clients,
             {head("POST /lookup/1", "Content-Length: 1000000\r\n") + std::string(300'000, 'x'), "x",
--- a/tests/live/unit-live_endless_answers.cpp
+++ b/tests/live/unit-live_endless_answers.cpp
@@ -1,6 +1,7 @@
 // Boost 1.74's asio.hpp uses std::exchange without including <utility>.
 #include <utility>
 
+#include "crowd.hpp"
 #include "platform_fleet.hpp"
 
 #include <boost/asio.hpp>
@@ -8,7 +9,6 @@
 #include <fmt/format.h>
 
 #include <atomic>
-#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -96,17 +96,6 @@
     return table;
 }
 
-// The largest resident size that a process has had, in megabytes.
-std::size_t peakMegabytes(pid_t process)
-{
-    std::ifstream file(fmt::format("/proc/{}/status", process));
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) / 1024;
-    }
-    return 0;
-}
-
 } // namespace
 
 // Guards against a node that runs out of memory, and takes the requests of others with it, because
@@ -152,7 +141,7 @@
         for (std::thread &client : clients)
             client.join();
         CHECK(served == 0);
-        const std::size_t peak = peakMegabytes(fleet.process("node-a").id());
+        const std::size_t peak = live::peakMegabytes(fleet.process("node-a").id());
         CAPTURE(peak);
         CHECK(peak > 0);
         CHECK(peak < maxMegabytes);
--- a/tests/live/unit-live_held_connections.cpp
+++ b/tests/live/unit-live_held_connections.cpp
@@ -25,15 +25,6 @@
            + "\r\n";
 }
 
-// The smallest fields that the format allows.
-std::string smallFields(std::size_t bytes)
-{
-    std::string fields;
-    while (fields.size() < bytes)
-        fields += "a:\r\n";
-    return fields;
-}
-
 std::string makeRoutingTable(std::size_t maxHeaderBytes)
 {
     std::string table = live::makeRoutingTable(3);
@@ -67,11 +58,8 @@
     live::PlatformFleet fleet;
     fleet.memoryMegabytes = live::smallestMachineMegabytes;
     REQUIRE(fleet.writeRow("op", "config", makeRoutingTable(maxHeaderBytes)));
-    const live::RawWorker worker([](const live::RawWorker::Request &request) {
-        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
-                           "Content-Length: 2\r\n\r\nhi",
-                           request.header("X-Attempt-Id"));
-    });
+    const live::RawWorker worker(
+            [](const live::RawWorker::Request &request) { return live::makeAnswer(request); });
     fleet.addWorker("orders-1", "orders", worker.address());
     fleet.startNode("node-a");
     REQUIRE(fleet.waitUntilReady());
@@ -116,13 +104,14 @@
     constexpr std::size_t headerBytes = 256 * 1024;
     checkNodeServesBeside(
             clients,
-            {postHead("Content-Length: 1000\r\n" + smallFields(headerBytes - 200)), "", false},
+            {postHead("Content-Length: 1000\r\n" + live::smallFields(headerBytes - 200)), "",
+             false},
             headerBytes);
 }
 
 // Guards against heads that fit one by one, but not on all connections together.
 TEST_CASE("on the platform heads of many small fields on all connections fit the memory")
 {
-    checkNodeServesBeside(1000,
-                          {postHead("Content-Length: 1000\r\n" + smallFields(16000)), "", false});
+    checkNodeServesBeside(
+            1000, {postHead("Content-Length: 1000\r\n" + live::smallFields(16000)), "", false});
 }
--- a/tests/live/unit-live_hostile_requests.cpp
+++ b/tests/live/unit-live_hostile_requests.cpp
@@ -152,11 +152,8 @@
 // Guards against a line that a target reads as a field of its own.
 TEST_CASE("on the platform a folded header line is passed on as one line")
 {
-    const live::RawWorker worker([](const live::RawWorker::Request &request) {
-        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
-                           "Content-Length: 2\r\n\r\nhi",
-                           request.header("X-Attempt-Id"));
-    });
+    const live::RawWorker worker(
+            [](const live::RawWorker::Request &request) { return live::makeAnswer(request); });
     live::PlatformFleet fleet;
     REQUIRE(fleet.writeRow("op", "config", live::makeRoutingTable(3)));
     fleet.addWorker("orders-1", "orders", worker.address());
@@ -192,11 +189,8 @@
 {
     constexpr std::size_t maxBodyBytes = 32 * 1024 * 1024;
     const live::RawWorker silent([](const live::RawWorker::Request &) { return std::string(); });
-    const live::RawWorker sound([](const live::RawWorker::Request &request) {
-        return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: stamp\r\n"
-                           "Content-Length: 2\r\n\r\nhi",
-                           request.header("X-Attempt-Id"));
-    });
+    const live::RawWorker sound(
+            [](const live::RawWorker::Request &request) { return live::makeAnswer(request); });
     live::PlatformFleet fleet;
     fleet.memoryMegabytes = live::smallestMachineMegabytes;
     std::string table = live::makeRoutingTable(3);
--- a/tests/live/unit-live_unbounded_requests.cpp
+++ b/tests/live/unit-live_unbounded_requests.cpp
@@ -1,14 +1,13 @@
 // Boost 1.74's asio.hpp uses std::exchange without including <utility>.
 #include <utility>
 
+#include "crowd.hpp"
 #include "platform_fleet.hpp"
 
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <filesystem>
-#include <fstream>
 #include <list>
 #include <string>
 #include <thread>
@@ -25,23 +24,6 @@
 constexpr std::size_t maxMegabytes = 120;
 constexpr std::size_t maxDescriptors = crowdSize + 64;
 
-// The largest resident size that a process has had, in megabytes.
-std::size_t peakMegabytes(pid_t process)
-{
-    std::ifstream file(fmt::format("/proc/{}/status", process));
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmHWM:"))
-            return std::stoul(line.substr(6)) / 1024;
-    }
-    return 0;
-}
-
-std::size_t openDescriptors(pid_t process)
-{
-    const std::filesystem::directory_iterator entries(fmt::format("/proc/{}/fd", process));
-    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
-}
-
 std::string makeRoutingTable()
 {
     std::string table = live::makeRoutingTable(3);
@@ -107,9 +89,9 @@
     const live::ChildProcess &node = fleet.process("node-a");
 
     const Crowd crowd(fleet.addresses.at("node-a/callers"), pattern);
-    const std::size_t descriptors = openDescriptors(node.id());
+    const std::size_t descriptors = live::openDescriptors(node.id());
     CHECK(fleet.call("node-a", "POST", "/lookup/1", "ordinary", "x").status == 200);
-    const std::size_t peak = peakMegabytes(node.id());
+    const std::size_t peak = live::peakMegabytes(node.id());
     MESSAGE("peak of the resident memory: " << peak << " MB, descriptors: " << descriptors);
     CHECK(peak > 0);
     CHECK(peak < maxMegabytes);
