--- a/packages/entry/src/range_reader.hpp
+++ b/packages/entry/src/range_reader.hpp
@@ -9,9 +9,9 @@
 
 namespace geraniumpulley::entry {
 
-/// Reads all rows of a range, in as many calls as needed, or the first page of a range with a
-/// limit. \param done receives `std::nullopt` if a call failed; runs exactly once, as the callback
-/// of a `StoreRequest`.
+/// Reads all rows of a range in as many calls as needed, or one page of a range with a limit.
+/// \param done receives `std::nullopt` if a call failed; runs exactly once, as the callback of a
+/// `StoreRequest`.
 void readRange(StoreLink &store, platform::RowRange range,
                std::function<void(std::optional<platform::Rows> &&)> done);
 
