--- a/review/11/case.cpp
+++ b/review/11/case.cc
@@ -1,5 +1,5 @@
 // Streams of many clients, a freeze of the node, and clients whose key was taken away.
-#include "../common-3/standins.hpp"
+#include "../common-3/standins.hh"
 
 #include <algorithm>
 
